--- a/src/bin/maddercrank-benchlink/main.rs
+++ b/src/bin/quartzspindle-adapter/main.rs
@@ -13,8 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use maddercrank::interface::{Action, Entry, Event};
-use maddercrank::Controller;
+use quartzspindle::interface::{Action, Entry, Event};
+use quartzspindle::Controller;
 use serde_json::{json, Value};
 
 #[derive(Default)]
@@ -123,7 +123,7 @@
             Err(e) => Err(e),
         };
         if let Err(e) = written {
-            eprintln!("maddercrank-benchlink: line {}: {e}", number + 1);
+            eprintln!("quartzspindle-adapter: line {}: {e}", number + 1);
             return ExitCode::FAILURE;
         }
     }
--- a/src/bin/maddercrank-benchlink/wire.rs
+++ b/src/bin/quartzspindle-adapter/wire.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use maddercrank::interface::*;
+use quartzspindle::interface::*;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_maddercrank-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_quartzspindle-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -133,5 +133,5 @@
     assert!(policy.lines().filter(|l| !l.trim().is_empty()).count() <= 850);
     assert!(policy.lines().all(|l| l.chars().count() <= 110));
     let deploy = std::fs::read_to_string(format!("{root}/deploy/balancer.toml")).unwrap();
-    assert!(deploy.contains("src/choice.rs") && deploy.contains("target/release/maddercrank-benchlink"));
+    assert!(deploy.contains("src/choice.rs") && deploy.contains("target/release/quartzspindle-adapter"));
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use maddercrank::interface::*;
-use maddercrank::Controller;
+use quartzspindle::interface::*;
+use quartzspindle::Controller;
 
 pub const GUARD: Duration = Duration::from_millis(300);
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::*;
-use maddercrank::interface::*;
+use quartzspindle::interface::*;
 
 #[test]
 fn every_call_gets_one_answer_in_time_when_nothing_answers() {
@@ -166,6 +166,6 @@
     let now = Duration::ZERO;
     let mut none = settings(3);
     none.classes.clear();
-    assert!(maddercrank::Controller::new(none, 1, now).is_err());
-    assert!(maddercrank::Controller::new(settings(0), 1, now).is_err());
+    assert!(quartzspindle::Controller::new(none, 1, now).is_err());
+    assert!(quartzspindle::Controller::new(settings(0), 1, now).is_err());
 }
