--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,8 @@
 
 pub mod choice;
 pub mod interface;
+pub mod lifecycle;
+pub mod memory;
+pub mod wire;
 
 pub use choice::Controller;
--- /dev/null
+++ b/src/lifecycle/config.rs
@@ -0,0 +1,352 @@
+//! The one place where configuration is read, checked and given defaults.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tinyjson::JsonValue;
+
+use crate::interface::*;
+
+/// What is wrong with a configuration, and at which key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigError {
+    key: String,
+    why: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "configuration: {}: {}", self.key, self.why)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+type Read<T> = Result<T, ConfigError>;
+
+/// A value and the path that leads to it.
+struct Node<'a> {
+    path: String,
+    value: Option<&'a JsonValue>,
+}
+
+impl<'a> Node<'a> {
+    fn wrong<T>(&self, why: &str) -> Read<T> {
+        Err(ConfigError { key: self.path.clone(), why: why.to_owned() })
+    }
+
+    fn get(&self, key: &str) -> Node<'a> {
+        let path = if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) };
+        let fields = self.value.and_then(|v| v.get::<HashMap<String, JsonValue>>());
+        let value = fields.and_then(|f| f.get(key)).filter(|v| !v.is_null());
+        Node { path, value }
+    }
+
+    fn items(&self) -> Read<Vec<Node<'a>>> {
+        let Some(value) = self.value else { return Ok(Vec::new()) };
+        let Some(items) = value.get::<Vec<JsonValue>>() else { return self.wrong("must be a list") };
+        let item = |(i, v): (usize, &'a JsonValue)| Node {
+            path: format!("{}[{i}]", self.path),
+            value: Some(v).filter(|v| !v.is_null()),
+        };
+        Ok(items.iter().enumerate().map(item).collect())
+    }
+
+    fn number_if(&self) -> Read<Option<f64>> {
+        let Some(value) = self.value else { return Ok(None) };
+        match value.get::<f64>() {
+            Some(n) if n.is_finite() => Ok(Some(*n)),
+            _ => self.wrong("must be a number"),
+        }
+    }
+
+    fn number(&self, default: f64) -> Read<f64> {
+        Ok(self.number_if()?.unwrap_or(default))
+    }
+
+    fn whole(&self, default: u64) -> Read<u64> {
+        match self.number_if()? {
+            None => Ok(default),
+            Some(n) if n >= 0.0 && n.fract() == 0.0 => Ok(n as u64),
+            Some(_) => self.wrong("must be a whole number, 0 or more"),
+        }
+    }
+
+    fn small(&self, default: u32) -> Read<u32> {
+        u32::try_from(self.whole(u64::from(default))?).or_else(|_| self.wrong("is too large"))
+    }
+
+    fn nanos(&self) -> Read<Duration> {
+        Ok(Duration::from_nanos(self.whole(0)?))
+    }
+
+    fn flag(&self, default: bool) -> Read<bool> {
+        match self.value.map(|v| v.get::<bool>()) {
+            None => Ok(default),
+            Some(Some(flag)) => Ok(*flag),
+            Some(None) => self.wrong("must be true or false"),
+        }
+    }
+
+    fn text_if(&self) -> Read<Option<&'a str>> {
+        match self.value.map(|v| v.get::<String>()) {
+            None => Ok(None),
+            Some(Some(text)) => Ok(Some(text)),
+            Some(None) => self.wrong("must be a text"),
+        }
+    }
+
+    fn text(&self) -> Read<&'a str> {
+        match self.text_if()? {
+            Some(text) if !text.is_empty() => Ok(text),
+            _ => self.wrong("is missing"),
+        }
+    }
+
+    fn address(&self) -> Read<SocketAddr> {
+        match self.text()?.parse() {
+            Ok(address) => Ok(address),
+            Err(_) => self.wrong("must be an address and a port, as 127.0.0.1:5060"),
+        }
+    }
+
+    fn address_if(&self) -> Read<Option<SocketAddr>> {
+        if self.value.is_none() {
+            return Ok(None);
+        }
+        self.address().map(Some)
+    }
+}
+
+/// One line of the list with the address that belongs to it.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// What the decision module is told.
+    pub entry: Entry,
+    /// Where the exchange listens.
+    pub address: SocketAddr,
+}
+
+/// An event of the list.
+#[derive(Debug, Clone)]
+pub struct Update {
+    /// The whole list, not changes only.
+    pub whole: bool,
+    /// Its lines.
+    pub lines: Vec<Listed>,
+}
+
+/// Everything the program is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors it may hold.
+    pub sockets: usize,
+    /// Where datagrams of other routers arrive.
+    pub peer_listen: Option<SocketAddr>,
+    /// Addresses of the routers, by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// Address for all routers at once.
+    pub peers_all: Option<SocketAddr>,
+    /// Where the coordinator listens.
+    pub coordinator: Option<SocketAddr>,
+    /// Number of the last event in `known`.
+    pub known_index: u64,
+    /// The events of the start.
+    pub known: Vec<Update>,
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// Names of the classes, by their number.
+    pub class_names: Vec<String>,
+    /// Names of the figures in a load report, by their place.
+    pub gauge_names: Vec<String>,
+    /// A connection must be up within this.
+    pub connect_timeout: Duration,
+}
+
+impl Config {
+    /// Reads a configuration, as of `LB_CONFIG`.
+    ///
+    /// # Errors
+    /// Names the key that is missing or makes no sense.
+    pub fn parse(text: &str) -> Read<Self> {
+        let top = |why: String| ConfigError { key: "file".to_owned(), why };
+        let root: JsonValue = text.parse().map_err(|e: tinyjson::JsonParseError| top(e.to_string()))?;
+        if root.get::<HashMap<String, JsonValue>>().is_none() {
+            return Err(top("must be an object".to_owned()));
+        }
+        let root = Node { path: String::new(), value: Some(&root) };
+        let settings = root.get("settings");
+        let names = |list: Node<'_>, key: &str| -> Read<Vec<String>> {
+            list.items()?
+                .iter()
+                .map(|n| n.get(key).text_if().map(|t| t.unwrap_or_default().to_owned()))
+                .collect()
+        };
+        let plain = |list: Node<'_>| -> Read<Vec<String>> {
+            list.items()?.iter().map(|n| n.text().map(str::to_owned)).collect()
+        };
+        let zones = plain(settings.get("Dcs"))?;
+        let known = root.get("known");
+        let seed = root.get("seed");
+        let seed = match seed.text_if()? {
+            None => 0,
+            Some(hex) => u64::from_str_radix(hex, 16).or_else(|_| seed.wrong("must be 16 hex digits"))?,
+        };
+        let limit = settings.get("PolicyLimits").get("ConnectTimeoutNs").nanos()?;
+        Ok(Self {
+            name: root.get("name").text_if()?.unwrap_or("router").to_owned(),
+            listen: root.get("listen").address()?,
+            seed,
+            sockets: root.get("limits").get("sockets").whole(1024)? as usize,
+            peer_listen: root.get("peer_listen").address_if()?,
+            peers: root.get("peers").items()?.iter().map(Node::address).collect::<Read<_>>()?,
+            peers_all: root.get("peers_all").address_if()?,
+            coordinator: root.get("coordinator").address_if()?,
+            known_index: known.get("index").whole(0)?,
+            known: known.get("updates").items()?.iter().map(|u| update(u, &zones)).collect::<Read<_>>()?,
+            class_names: names(settings.get("Classes"), "Name")?,
+            gauge_names: plain(settings.get("Stats").get("Names"))?,
+            connect_timeout: if limit.is_zero() { Duration::from_millis(500) } else { limit },
+            settings: read_settings(&settings)?,
+        })
+    }
+}
+
+fn update(event: &Node<'_>, zones: &[String]) -> Read<Update> {
+    let list = event.get("endpoints");
+    let lines = list.get("hosts").items()?.iter().map(|l| listed(l, zones)).collect::<Read<_>>()?;
+    Ok(Update { whole: list.get("whole").flag(false)?, lines })
+}
+
+fn listed(line: &Node<'_>, zones: &[String]) -> Read<Listed> {
+    let zone = line.get("site").text_if()?;
+    let state = line.get("health");
+    let health = match state.text()? {
+        "active" => Health::Live,
+        "leaving" => Health::Draining,
+        "left" => Health::Gone,
+        _ => return state.wrong("must be active, leaving or left"),
+    };
+    let entry = Entry {
+        exchange: ExchangeId(line.get("host").text()?.into()),
+        place: Place(line.get("block").small(0)?),
+        zone: zone.and_then(|z| zones.iter().position(|n| n == z)).unwrap_or(0) as u32,
+        health,
+        up_since: Some(line.get("born_ms").whole(0)?).filter(|ms| *ms > 0).map(Duration::from_millis),
+    };
+    Ok(Listed { entry, address: line.get("dial").address()? })
+}
+
+/// The decision module's settings, as the simulator's first message names them.
+fn read_settings(root: &Node<'_>) -> Read<Settings> {
+    let (domain, contract, limits) = (root.get("Domain"), root.get("Contract"), root.get("PolicyLimits"));
+    let prices = root.get("Penalties");
+    let own = domain.get("OwnNumber").number_if()?.filter(|n| *n >= 0.0).map(|n| Place(n as u32));
+    let shape = domain.get("Topology");
+    let topology = match (shape.text_if()?, own) {
+        (Some("groups"), _) | (None, None) => Topology::Groups,
+        (Some("meshed") | None, Some(own)) => Topology::Meshed(own),
+        (Some("meshed"), None) => return domain.get("OwnNumber").wrong("is missing"),
+        (Some(_), _) => return shape.wrong("must be meshed or groups"),
+    };
+    let classes = root.get("Classes").items()?;
+    if classes.is_empty() {
+        return root.get("Classes").wrong("must name a class");
+    }
+    let widths = domain.get("ChannelsNeeded").items()?;
+    let holds = domain.get("ClassHoldNs").items()?;
+    let pools = domain.get("SkilledPools").items()?;
+    let classes = classes.iter().enumerate().map(|(i, class)| {
+        Ok(Class {
+            aim: class.get("AimNs").nanos()?,
+            deadline: class.get("DeadlineNs").nanos()?,
+            worth: class.get("Worth").number(0.0)?,
+            late_share: class.get("LateShare").number(0.0)?,
+            effect: effect(class)?,
+            width: widths.get(i).map_or(Ok(1), |w| w.small(1))?,
+            holding: holds.get(i).map_or(Ok(Duration::ZERO), Node::nanos)?,
+            pools: match pools.get(i) {
+                None => Vec::new(),
+                Some(list) => list.items()?.iter().map(|p| p.small(0).map(Place)).collect::<Read<_>>()?,
+            },
+        })
+    });
+    let tenants = root.get("Orgs").items()?;
+    let tenant = |t: &Node<'_>| Ok(Tenant { quota_per_s: t.get("QuotaPerS").number(0.0)? });
+    Ok(Settings {
+        classes: classes.collect::<Read<_>>()?,
+        tenants: tenants.iter().map(tenant).collect::<Read<_>>()?,
+        over_share_worth: root.get("OverShareWorth").number(0.0)?,
+        fleet_size: root.get("FleetSize").small(1)?,
+        me: root.get("Me").small(0)?,
+        topology,
+        guard: domain.get("GuardNs").nanos()?,
+        resend: domain.get("ResendNs").nanos()?,
+        contract: Contract {
+            drain_grace: contract.get("DrainGraceNs").nanos()?,
+            cold_from: contract.get("ColdFrom").number(0.0)?,
+            cold: contract.get("ColdNs").nanos()?,
+            fall_multiple: contract.get("FallMultiple").number(0.0)?,
+            fall: contract.get("FallNs").nanos()?,
+            ask_within: contract.get("AskWithinNs").nanos()?,
+        },
+        limits: Limits {
+            max_attempts: limits.get("MaxAttempts").small(1)?,
+            cancelling: limits.get("Cancelling").flag(false)?,
+            probes: limits.get("Probes").flag(false)?,
+            peers: limits.get("Peers").flag(false)?,
+            retry_after: limits.get("RetryAfter").flag(false)?,
+            max_retry_after: limits.get("MaxRetryAfterNs").nanos()?,
+        },
+        gauges: gauges(&root.get("Stats").get("Names"))?,
+        penalties: Penalties {
+            late_fail: prices.get("LateFail").number(0.0)?,
+            waste: prices.get("Waste").number(0.0)?,
+            probe: prices.get("Probe").number(0.0)?,
+            peer: prices.get("Peer").number(0.0)?,
+        },
+        registry_asks: root.get("RegistryMode").text_if()? == Some("ask"),
+        marks_retry: root.get("Clients").get("MarksRetry").flag(false)?,
+        advice: domain.get("Advice").flag(false)?,
+        tick: root.get("TickNs").nanos()?,
+    })
+}
+
+fn effect(class: &Node<'_>) -> Read<Effect> {
+    Ok(match class.get("Effect").text_if()? {
+        None | Some("safe") => Effect::Safe,
+        Some("unsafe") => Effect::Unsafe,
+        Some("keyed") => {
+            let scope = match class.get("DedupScope").text_if()? {
+                Some("all") => Scope::All,
+                Some("zone") => Scope::Zone,
+                _ => Scope::Place,
+            };
+            Effect::Keyed(scope, class.get("WindowNs").nanos()?)
+        }
+        Some(_) => return class.get("Effect").wrong("must be safe, keyed or unsafe"),
+    })
+}
+
+fn gauges(names: &Node<'_>) -> Read<Vec<Gauge>> {
+    let gauge = |name: &str| match name {
+        "spare" | "x0" => Gauge::Spare,
+        "total" | "x1" => Gauge::Total,
+        "rif" | "inflight" => Gauge::InWork,
+        "q" | "queue" => Gauge::Waiting,
+        "busy" | "util" => Gauge::Busy,
+        "lat_ms" | "latency_ms" => Gauge::WaitMs,
+        "allowed" | "qps" => Gauge::Allowed,
+        "cut_by" | "eps" => Gauge::CutBy,
+        _ => Gauge::Unknown,
+    };
+    names.items()?.iter().map(|n| n.text().map(gauge)).collect()
+}
--- /dev/null
+++ b/src/lifecycle/mod.rs
@@ -0,0 +1,4 @@
+//! Configuration, start and stop.
+
+pub mod config;
+pub mod run;
--- /dev/null
+++ b/src/memory/exchanges.rs
@@ -0,0 +1,46 @@
+//! The list of booking exchanges, as the directory has told it.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{Entry, ExchangeId, Health, ListKind};
+
+/// Every exchange that was ever listed, with its last line.
+#[derive(Debug, Default)]
+pub struct Exchanges {
+    lines: BTreeMap<ExchangeId, Entry>,
+}
+
+impl Exchanges {
+    /// Applies news; returns the exchanges whose process is over: gone, or started anew.
+    pub fn apply(&mut self, kind: ListKind, entries: &[Entry]) -> Vec<ExchangeId> {
+        let mut over = Vec::new();
+        if matches!(kind, ListKind::Full | ListKind::Stored) {
+            for (id, line) in &mut self.lines {
+                let listed = entries.iter().any(|e| e.exchange == *id);
+                if !listed && line.health != Health::Gone {
+                    line.health = Health::Gone;
+                    over.push(id.clone());
+                }
+            }
+        }
+        for entry in entries {
+            let before = self.lines.insert(entry.exchange.clone(), entry.clone());
+            let Some(before) = before else { continue };
+            let left = entry.health == Health::Gone && before.health != Health::Gone;
+            if left || entry.up_since != before.up_since {
+                over.push(entry.exchange.clone());
+            }
+        }
+        over
+    }
+
+    /// All lines.
+    pub fn lines(&self) -> impl Iterator<Item = &Entry> {
+        self.lines.values()
+    }
+
+    /// Whether the exchange was ever listed.
+    pub fn knows(&self, exchange: &ExchangeId) -> bool {
+        self.lines.contains_key(exchange)
+    }
+}
--- /dev/null
+++ b/src/wire/driver.rs
@@ -0,0 +1,121 @@
+//! The thin part between a state machine and a TCP socket.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
+
+/// Bytes that may wait for a slow peer; beyond it the connection is closed.
+///
+/// Guards the memory limit: one peer that stops reading must not take the room of all others.
+const BACKLOG: usize = 128 * 1024;
+/// Connections waiting to be accepted.
+const ACCEPTS: u32 = 512;
+
+/// What is to be written on a connection, and whether it is to be closed.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    bytes: RefCell<Vec<u8>>,
+    closing: Cell<bool>,
+    wake: Notify,
+}
+
+impl Outbox {
+    /// Queues bytes; a peer that has let too many wait is cut off.
+    pub fn push(&self, bytes: &[u8]) {
+        let mut queue = self.bytes.borrow_mut();
+        if queue.len() + bytes.len() > BACKLOG {
+            self.closing.set(true);
+            queue.clear();
+        } else if !self.closing.get() {
+            queue.extend_from_slice(bytes);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Closes the connection once what is queued has been written.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Whether more may be queued.
+    pub fn is_open(&self) -> bool {
+        !self.closing.get()
+    }
+}
+
+/// Reads and writes until either side closes.
+///
+/// # Errors
+/// What the socket reports, a reset among others.
+pub async fn pump(
+    stream: TcpStream,
+    outbox: &Outbox,
+    mut on_bytes: impl FnMut(&[u8]) -> ControlFlow<()>,
+) -> io::Result<()> {
+    let (mut reader, mut writer) = stream.into_split();
+    let mut input = vec![0; 8 * 1024];
+    let mut output: Vec<u8> = Vec::new();
+    let mut written = 0;
+    loop {
+        if written == output.len() {
+            output.clear();
+            written = 0;
+            std::mem::swap(&mut output, &mut outbox.bytes.borrow_mut());
+            if output.is_empty() && !outbox.is_open() {
+                return Ok(());
+            }
+        }
+        tokio::select! {
+            read = reader.read(&mut input) => {
+                let n = read?;
+                if n == 0 || on_bytes(&input[..n]).is_break() {
+                    // What was queued as a last word is still written, as far as it goes at once.
+                    output.drain(..written);
+                    output.append(&mut outbox.bytes.borrow_mut());
+                    let _ = writer.try_write(&output);
+                    return Ok(());
+                }
+            }
+            wrote = writer.write(&output[written..]), if written < output.len() => written += wrote?,
+            () = outbox.wake.notified() => {
+                // Guards against a peer that reads nothing: once cut off it is not waited for.
+                if !outbox.is_open() && written < output.len() && outbox.bytes.borrow().is_empty() {
+                    let _ = writer.try_write(&output[written..]);
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// Connects within a time.
+///
+/// # Errors
+/// `TimedOut` when the time is over, or what the socket reports.
+pub async fn connect(to: SocketAddr, within: Duration) -> io::Result<TcpStream> {
+    let stream = tokio::time::timeout(within, TcpStream::connect(to)).await??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Listens at an address, also right after an earlier life of the program used it.
+///
+/// # Errors
+/// What the socket reports.
+pub fn listen(at: SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(at)?;
+    socket.listen(ACCEPTS)
+}
+
+/// A shared outbox.
+pub type Shared = Rc<Outbox>;
--- /dev/null
+++ b/src/wire/link.rs
@@ -0,0 +1,215 @@
+//! The connections to one booking exchange: which one carries what, and what their ends mean.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::driver::Shared;
+use crate::interface::{CallId, Status};
+
+/// Connections to one exchange at most (the protocol's limit).
+const MOST: usize = 4;
+/// Pause before the next connect after a failed one: first and longest.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+/// A connection on which a set-up waits and nothing at all was heard for this long is doubted: a second
+/// one is opened beside it.
+const SILENCE: Duration = Duration::from_millis(1500);
+/// Releases that wait for a connection, at most.
+const WAITING: usize = 4096;
+
+/// Number of a connection, never used again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+#[derive(Debug)]
+struct Conn {
+    id: ConnId,
+    outbox: Shared,
+    heard: Duration,
+    set_ups: BTreeSet<CallId>,
+    /// Since when a set-up has waited with nothing heard.
+    quiet_since: Option<Duration>,
+    retired: bool,
+}
+
+/// How a connect failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// Refused: nothing listens, so no process runs there.
+    Refused,
+    /// Not up in time, or no way there.
+    Silent,
+}
+
+/// All connections to one exchange.
+#[derive(Debug)]
+pub struct Link {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// It is listed; else nothing is opened towards it.
+    pub listed: bool,
+    /// A connect is under way.
+    pub connecting: bool,
+    conns: Vec<Conn>,
+    queue: VecDeque<(Option<CallId>, Vec<u8>)>,
+    next_try: Duration,
+    pause: Duration,
+    /// A connection ended since the last one came up: its process may have died.
+    dropped: bool,
+    tried: bool,
+}
+
+impl Link {
+    /// A link with no connection yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            listed: true,
+            connecting: false,
+            conns: Vec::new(),
+            queue: VecDeque::new(),
+            next_try: Duration::ZERO,
+            pause: PAUSE.0,
+            dropped: false,
+            tried: false,
+        }
+    }
+
+    /// Whether a connect has come to its end, one way or other.
+    pub fn is_tried(&self) -> bool {
+        self.tried
+    }
+
+    /// Open connections.
+    pub fn open(&self) -> usize {
+        self.conns.len()
+    }
+
+    fn best(&mut self) -> Option<&mut Conn> {
+        let fit = self.conns.iter_mut().filter(|c| c.outbox.is_open());
+        fit.max_by_key(|c| (!c.retired, c.quiet_since.is_none(), c.heard, c.id))
+    }
+
+    /// Sends a set-up, or queues it for the connect that is due now.
+    pub fn start(&mut self, now: Duration, call: &CallId, bytes: Vec<u8>) {
+        match self.best().filter(|c| !c.retired) {
+            Some(conn) => {
+                conn.outbox.push(&bytes);
+                conn.set_ups.insert(call.clone());
+                conn.quiet_since.get_or_insert(now);
+            }
+            None => {
+                self.queue.push_back((Some(call.clone()), bytes));
+                self.next_try = now;
+            }
+        }
+    }
+
+    /// Gives up a set-up or releases a call, on the connection of its set-up or else on any.
+    pub fn finish(&mut self, now: Duration, call: &CallId, bytes: Vec<u8>) {
+        let queued = self.queue.len();
+        self.queue.retain(|(id, _)| id.as_ref() != Some(call));
+        if queued != self.queue.len() {
+            return; // it never left
+        }
+        let carrier = self.conns.iter_mut().find(|c| c.set_ups.contains(call) && c.outbox.is_open());
+        if let Some(conn) = carrier {
+            conn.set_ups.remove(call);
+            conn.outbox.push(&bytes);
+            return;
+        }
+        let waiting = self.queue.len();
+        match self.best() {
+            Some(conn) => conn.outbox.push(&bytes),
+            None if waiting < WAITING => {
+                self.queue.push_back((None, bytes));
+                self.next_try = self.next_try.min(now + self.pause);
+            }
+            None => {}
+        }
+    }
+
+    /// Something was heard on a connection; of a set-up, if a call is named.
+    pub fn heard(&mut self, now: Duration, id: ConnId, call: Option<&CallId>) {
+        let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) else { return };
+        conn.heard = now;
+        if let Some(call) = call {
+            conn.set_ups.remove(call);
+        }
+        conn.quiet_since = (!conn.set_ups.is_empty()).then_some(now);
+        conn.retired = false;
+        // The others are no longer needed once they carry nothing.
+        for other in self.conns.iter_mut().filter(|c| c.id != id && c.heard < now) {
+            other.retired = true;
+            if other.set_ups.is_empty() {
+                other.outbox.close();
+            }
+        }
+    }
+
+    /// Writes straight back on a connection.
+    pub fn answer(&self, id: ConnId, bytes: &[u8]) {
+        if let Some(conn) = self.conns.iter().find(|c| c.id == id) {
+            conn.outbox.push(bytes);
+        }
+    }
+
+    /// A connect succeeded: what was queued goes out on it.
+    pub fn connected(&mut self, now: Duration, id: ConnId, outbox: Shared) {
+        (self.connecting, self.dropped, self.tried, self.pause) = (false, false, true, PAUSE.0);
+        let mut set_ups = BTreeSet::new();
+        for (call, bytes) in self.queue.drain(..) {
+            outbox.push(&bytes);
+            set_ups.extend(call);
+        }
+        let quiet_since = (!set_ups.is_empty()).then_some(now);
+        self.conns.push(Conn { id, outbox, heard: now, set_ups, quiet_since, retired: false });
+    }
+
+    /// A connect failed; the set-ups named never ran. True: its process has ended.
+    pub fn failed(&mut self, now: Duration, failure: Failure) -> (Vec<CallId>, bool) {
+        (self.connecting, self.tried) = (false, true);
+        self.next_try = now + self.pause;
+        self.pause = (self.pause * 2).min(PAUSE.1);
+        let set_ups = self.queue.iter().filter_map(|(call, _)| call.clone()).collect();
+        self.queue.retain(|(call, _)| call.is_none());
+        let ended = failure == Failure::Refused && std::mem::take(&mut self.dropped);
+        (set_ups, ended)
+    }
+
+    /// A connection has ended; the set-ups named broke on their way.
+    pub fn closed(&mut self, now: Duration, id: ConnId) -> Vec<CallId> {
+        let Some(at) = self.conns.iter().position(|c| c.id == id) else { return Vec::new() };
+        let conn = self.conns.swap_remove(at);
+        if self.conns.is_empty() {
+            self.dropped = true;
+            self.next_try = now;
+        }
+        conn.set_ups.into_iter().collect()
+    }
+
+    /// A new process has taken the place of the old one: its connections lead nowhere.
+    pub fn renew(&mut self, now: Duration) {
+        self.conns.iter_mut().for_each(|c| c.retired = true);
+        (self.next_try, self.pause) = (now, PAUSE.0);
+    }
+
+    /// Whether a connect should be made now, and when to ask again if not.
+    pub fn wants_connect(&self, now: Duration) -> bool {
+        let silent = |c: &Conn| c.quiet_since.is_some_and(|since| now >= since + SILENCE);
+        // Guards against a machine that vanished and came back: its old connections stay open and silent.
+        let useless = self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
+        // A call's release comes on the next connection opened, so drains and losses keep a link wanted.
+        let wanted = (self.listed || !self.queue.is_empty()) && useless && !self.connecting;
+        wanted && self.conns.len() < MOST && now >= self.next_try
+    }
+
+    /// What became of a set-up whose connection ended or never came up.
+    pub fn status(ran: bool) -> Status {
+        if ran {
+            Status::Reset
+        } else {
+            Status::Unreachable
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,9 @@
+//! What is spoken on the wire. Each protocol is a state machine that is fed bytes (and time) and knows
+//! no socket; [`driver`] and the fronts do the reading and writing.
+
+pub mod coordinator;
+pub mod driver;
+pub mod jsonl;
+pub mod link;
+pub mod platform;
+pub mod sip;
--- /dev/null
+++ b/src/wire/platform.rs
@@ -0,0 +1,739 @@
+//! The platform's front: callers in SIP, booking exchanges in JSON lines, the list from the coordinator.
+//!
+//! It turns messages into requests and replies for the core, and the core's effects into messages.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::{debug, info, warn, Logger};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+
+use super::driver::{self, Outbox, Shared};
+use super::link::{ConnId, Failure, Link};
+use super::sip::{Message, Start};
+use super::{coordinator, jsonl, sip};
+use crate::interface::*;
+use crate::lifecycle::config::{Config, Listed, Update};
+use crate::memory::calls::Origin;
+use crate::memory::core::{Core, Effect, Reply, Request, CUT};
+use crate::Controller;
+
+/// Taken off what the caller waits, so that the answer is with it in time.
+const ON_THE_WAY: Duration = Duration::from_millis(20);
+/// How often links are looked after.
+const LOOK: Duration = Duration::from_millis(50);
+/// A release that finds no caller connection waits so long, and so many wait at most.
+const RELEASE_WAIT: Duration = Duration::from_secs(8);
+const RELEASES: usize = 8192;
+/// Share of the descriptors for connections of callers; they hold a third at most by themselves.
+const CALLERS_SHARE: f64 = 0.6;
+/// No word from the coordinator for so long, though a frame follows each second: it is connected anew.
+const COORDINATOR_SILENT: Duration = Duration::from_millis(2500);
+const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
+/// Largest datagram between routers.
+const DATAGRAM: usize = 256;
+
+/// The Unix clock, read once; it never steps back.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// Reads the system's clock.
+    pub fn new() -> Self {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Self { start: Instant::now(), unix: unix.unwrap_or_default() }
+    }
+
+    /// Time since the Unix epoch.
+    pub fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+
+    /// The instant at which the clock shows `at`.
+    pub fn instant(&self, at: Duration) -> tokio::time::Instant {
+        (self.start + at.saturating_sub(self.unix)).into()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+#[derive(Debug)]
+struct Caller {
+    outbox: Shared,
+    invites: HashSet<CallId>,
+}
+
+#[derive(Debug)]
+struct Invite {
+    caller: u64,
+    echoed: String,
+}
+
+#[derive(Debug)]
+struct Release {
+    call: CallId,
+    cause: u32,
+    until: Duration,
+}
+
+/// The front and all that it holds.
+#[derive(Debug)]
+pub struct Platform {
+    me: Weak<RefCell<Platform>>,
+    /// The core behind it.
+    pub core: Core,
+    clock: Clock,
+    log: Logger,
+    class_names: Vec<String>,
+    gauge_names: Vec<String>,
+    connect_timeout: Duration,
+    most_callers: usize,
+    last_event: u64,
+    callers: BTreeMap<u64, Caller>,
+    invites: HashMap<CallId, Invite>,
+    /// Releases sent and not yet heard: by which connection, and the cause.
+    releases: HashMap<CallId, (u64, u32)>,
+    waiting: VecDeque<Release>,
+    links: BTreeMap<ExchangeId, Link>,
+    next_conn: u64,
+    draining: bool,
+    started: Duration,
+    peer_socket: Option<Rc<UdpSocket>>,
+    peers_all: Option<SocketAddr>,
+    due: Rc<Notify>,
+}
+
+/// A front that its tasks share. All run on one thread, and none holds it across an await.
+pub type Handle = Rc<RefCell<Platform>>;
+
+impl Platform {
+    /// Makes the front and its core.
+    ///
+    /// # Errors
+    /// When the decision module takes the settings for senseless.
+    pub fn new(config: &Config, log: Logger, clock: Clock) -> Result<Handle, SettingsError> {
+        let now = clock.now();
+        let controller = Controller::new(config.settings.clone(), config.seed, now)?;
+        let platform = Rc::new_cyclic(|me| {
+            RefCell::new(Self {
+                me: me.clone(),
+                core: Core::new(controller, now),
+                clock,
+                log,
+                class_names: config.class_names.clone(),
+                gauge_names: config.gauge_names.clone(),
+                connect_timeout: config.connect_timeout,
+                most_callers: (config.sockets as f64 * CALLERS_SHARE) as usize,
+                last_event: config.known_index,
+                callers: BTreeMap::new(),
+                invites: HashMap::new(),
+                releases: HashMap::new(),
+                waiting: VecDeque::new(),
+                links: BTreeMap::new(),
+                next_conn: 0,
+                draining: false,
+                started: now,
+                peer_socket: None,
+                peers_all: config.peers_all,
+                due: Rc::default(),
+            })
+        });
+        for (index, known) in config.known.iter().enumerate() {
+            let kind = if index == 0 || known.whole { ListKind::Stored } else { ListKind::Changes };
+            platform.borrow_mut().update(kind, known);
+        }
+        Ok(platform)
+    }
+
+    fn conn(&mut self) -> u64 {
+        self.next_conn += 1;
+        self.next_conn
+    }
+
+    /// Starts to refuse tests: the front sends its calls elsewhere.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Set-ups that still have no final answer.
+    pub fn unanswered(&self) -> usize {
+        self.core.calls.unanswered()
+    }
+
+    /// Answers what is still open, before the program ends.
+    pub fn finish(&mut self) {
+        self.core.finish(self.clock.now());
+        self.flush();
+    }
+
+    /// Connections to each exchange, for the console.
+    pub fn links(&self) -> impl Iterator<Item = (&ExchangeId, &Link)> {
+        self.links.iter()
+    }
+
+    /// Whether every listed exchange has been reached or has failed to answer; the group states that the
+    /// decisions need have then come in.
+    fn is_ready(&self) -> bool {
+        let tried = self.links.values().filter(|l| l.listed).all(Link::is_tried);
+        !self.draining && (tried || self.clock.now() > self.started + 2 * self.connect_timeout)
+    }
+
+    // ---- the list ------------------------------------------------------------------------------
+
+    fn update(&mut self, kind: ListKind, update: &Update) {
+        let now = self.clock.now();
+        let lines = &update.lines;
+        if kind != ListKind::Changes {
+            self.links.values_mut().for_each(|l| l.listed = false);
+        }
+        let before: BTreeMap<ExchangeId, Option<Duration>> =
+            self.core.exchanges.lines().map(|e| (e.exchange.clone(), e.up_since)).collect();
+        for Listed { entry, address } in lines {
+            let id = &entry.exchange;
+            let link = self.links.entry(id.clone()).or_insert_with(|| Link::new(*address));
+            link.listed = entry.health != Health::Gone;
+            let moved = std::mem::replace(&mut link.address, *address) != *address;
+            if moved || before.get(id).is_some_and(|up| *up != entry.up_since) {
+                link.renew(now);
+            }
+            info!(self.log, "listed"; "exchange" => &*id.0, "place" => entry.place.0,
+                "health" => ?entry.health, "up_since" => ?entry.up_since);
+        }
+        let entries = lines.iter().map(|l| l.entry.clone()).collect();
+        self.core.directory(now, kind, entries);
+        self.flush();
+    }
+
+    fn coordinator_frame(&mut self, frame: coordinator::Frame) {
+        let Some(list) = frame.list.filter(|_| frame.number > self.last_event) else { return };
+        self.last_event = frame.number;
+        let lines = list.records.into_iter().map(|r| Listed {
+            entry: Entry {
+                exchange: ExchangeId(r.id.into()),
+                place: Place(u32::from(r.cell)),
+                zone: u32::from(r.zone),
+                health: match r.state {
+                    0 => Health::Live,
+                    1 => Health::Draining,
+                    _ => Health::Gone,
+                },
+                up_since: Some(r.started).filter(|ms| *ms > 0).map(Duration::from_millis),
+            },
+            address: r.address,
+        });
+        let update = Update { whole: list.whole, lines: lines.collect() };
+        self.update(if list.whole { ListKind::Full } else { ListKind::Changes }, &update);
+    }
+
+    // ---- callers -------------------------------------------------------------------------------
+
+    fn caller_message(&mut self, caller: u64, message: Message) {
+        let now = self.clock.now();
+        let Some(id) = message.call_id().map(|id| CallId(id.into())) else {
+            return self.say(caller, &sip::response(400, &message.echoed(), None, b""));
+        };
+        let Start::Request { method, user } = &message.start else {
+            let of = message.header("CSeq").unwrap_or_default();
+            if of.ends_with("BYE") && message.start != Start::Response(100) {
+                self.releases.remove(&id);
+            }
+            return;
+        };
+        let echoed = message.echoed();
+        match method.as_str() {
+            "INVITE" => self.invite(now, caller, id, user.as_str().into(), &message, echoed),
+            "ACK" => {}
+            "CANCEL" => {
+                self.say(caller, &sip::response(200, &echoed, None, b""));
+                self.withdraw(now, &id, true);
+            }
+            "BYE" => {
+                self.say(caller, &sip::response(200, &echoed, None, b""));
+                self.releases.remove(&id);
+                let cause = sip::cause_of(message.header("Reason"));
+                self.core.hang_up(now, &id, cause);
+            }
+            "OPTIONS" => {
+                let status = if self.is_ready() { 200 } else { 503 };
+                self.say(caller, &sip::response(status, &echoed, None, b""));
+            }
+            _ => self.say(caller, &sip::response(501, &echoed, None, b"")),
+        }
+        self.flush();
+    }
+
+    fn invite(
+        &mut self,
+        now: Duration,
+        caller: u64,
+        id: CallId,
+        number: Arc<str>,
+        message: &Message,
+        echoed: String,
+    ) {
+        let class = message.header("X-Call-Class");
+        let class = class.and_then(|name| self.class_names.iter().position(|n| n == name));
+        let limit = message.header("X-Ring-Limit").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+        let list = message.header("X-Dest").unwrap_or_default();
+        let figure = |name| sip::figure(list, name);
+        let place =
+            |name| figure(name).filter(|n| (0.0..=f64::from(u32::MAX)).contains(n)).map(|n| Place(n as u32));
+        let description = std::str::from_utf8(&message.body);
+        let (Some(class), Some(limit), Some(dest), Ok(description)) =
+            (class, limit, place("dest"), description)
+        else {
+            warn!(self.log, "set-up not understood"; "call" => &*id.0, "dest" => list);
+            return self.say(caller, &sip::response(400, &echoed, None, b""));
+        };
+        if self.invites.contains_key(&id) {
+            return;
+        }
+        let offer = Offer {
+            call: id.clone(),
+            class,
+            tenant: 0,
+            number,
+            remaining: limit.saturating_sub(ON_THE_WAY),
+            dest,
+            width: figure("width").filter(|w| *w >= 0.0).map(|w| w as u32),
+            via: place("via"),
+            again: message.header("X-Again") == Some("1"),
+            transit: figure("transit") == Some(1.0),
+            reconnect: figure("again") == Some(1.0),
+        };
+        self.invites.insert(id.clone(), Invite { caller, echoed });
+        if let Some(caller) = self.callers.get_mut(&caller) {
+            caller.invites.insert(id);
+        }
+        self.core.request(now, Request { origin: Origin(caller), offer, description: description.into() });
+    }
+
+    /// The caller has given a set-up up.
+    fn withdraw(&mut self, now: Duration, id: &CallId, tell: bool) {
+        if let Some(invite) = self.take_invite(id) {
+            if tell {
+                self.say(invite.caller, &sip::response(487, &invite.echoed, None, b""));
+            }
+            self.core.hang_up(now, id, crate::memory::core::CLEARED);
+        }
+    }
+
+    fn take_invite(&mut self, id: &CallId) -> Option<Invite> {
+        let invite = self.invites.remove(id)?;
+        if let Some(caller) = self.callers.get_mut(&invite.caller) {
+            caller.invites.remove(id);
+        }
+        Some(invite)
+    }
+
+    fn say(&self, caller: u64, bytes: &[u8]) {
+        if let Some(caller) = self.callers.get(&caller) {
+            caller.outbox.push(bytes);
+        }
+    }
+
+    fn caller_opened(&mut self, outbox: Shared) -> Option<u64> {
+        if self.callers.len() >= self.most_callers {
+            return None;
+        }
+        let id = self.conn();
+        self.callers.insert(id, Caller { outbox, invites: HashSet::new() });
+        let now = self.clock.now();
+        for release in std::mem::take(&mut self.waiting) {
+            if release.until > now {
+                self.release(Some(id), release.call, release.cause);
+            }
+        }
+        Some(id)
+    }
+
+    fn caller_closed(&mut self, caller: u64) {
+        let now = self.clock.now();
+        let Some(gone) = self.callers.remove(&caller) else { return };
+        for id in gone.invites {
+            self.withdraw(now, &id, false);
+        }
+        // Guards against releases lost in a close that crossed them.
+        let unheard: Vec<(CallId, u32)> =
+            self.releases.iter().filter(|(_, r)| r.0 == caller).map(|(id, r)| (id.clone(), r.1)).collect();
+        for (call, cause) in unheard {
+            self.releases.remove(&call);
+            self.release(None, call, cause);
+        }
+        self.flush();
+    }
+
+    /// Tells a call's client that it is over: over its own connection, else over any, else a little later.
+    fn release(&mut self, caller: Option<u64>, call: CallId, cause: u32) {
+        let own = caller.and_then(|c| self.callers.get_key_value(&c)).filter(|(_, c)| c.outbox.is_open());
+        let open = own.or_else(|| self.callers.iter().rev().find(|(_, c)| c.outbox.is_open()));
+        match open {
+            Some((id, caller)) => {
+                caller.outbox.push(&sip::bye(&call.0, cause));
+                self.releases.insert(call, (*id, cause));
+            }
+            None => {
+                if self.waiting.len() >= RELEASES {
+                    self.waiting.pop_front();
+                }
+                self.waiting.push_back(Release { call, cause, until: self.clock.now() + RELEASE_WAIT });
+            }
+        }
+    }
+
+    // ---- booking exchanges ---------------------------------------------------------------------
+
+    fn exchange_line(&mut self, exchange: &ExchangeId, conn: ConnId, line: &jsonl::Line) {
+        let now = self.clock.now();
+        let id = CallId(line.tag.as_str().into());
+        let answers = matches!(line.verb.as_str(), "STARTED" | "FINISH");
+        let Some(link) = self.links.get_mut(exchange) else { return };
+        link.heard(now, conn, answers.then_some(&id));
+        let report = line.load.as_deref().map(|load| self.report(load)).unwrap_or_default();
+        match line.verb.as_str() {
+            "LOAD" => self.core.report(now, exchange, report),
+            "STARTED" => {
+                let description = line.blob.as_deref().unwrap_or_default().into();
+                self.core.reply(now, exchange, &id, Reply::Stands(description));
+            }
+            "FINISH" => {
+                let stood = self.core.calls.open.get(&id).is_none_or(|c| c.stands);
+                let status = end_of(line.cause, stood);
+                let cause = line.note.as_deref().and_then(cause_of);
+                self.core.reply(now, exchange, &id, Reply::Ended { status, cause, report });
+                if stood {
+                    self.answer(exchange, conn, &jsonl::plain("FINISHED", &id.0, None));
+                }
+            }
+            "ECHO" => self.answer(exchange, conn, &jsonl::plain("ECHOED", &id.0, Some(1))),
+            _ => {}
+        }
+        self.flush();
+    }
+
+    fn answer(&self, exchange: &ExchangeId, conn: ConnId, bytes: &[u8]) {
+        if let Some(link) = self.links.get(exchange) {
+            link.answer(conn, bytes);
+        }
+    }
+
+    fn report(&self, load: &str) -> Vec<f64> {
+        self.gauge_names.iter().map(|name| sip::figure(load, name).unwrap_or(-1.0)).collect()
+    }
+
+    fn connect(&mut self, exchange: &ExchangeId) {
+        let (now, id) = (self.clock.now(), ConnId(self.conn()));
+        let Some(link) = self.links.get_mut(exchange).filter(|l| l.wants_connect(now)) else { return };
+        link.connecting = true;
+        let (address, within) = (link.address, self.connect_timeout);
+        let Some(me) = self.me.upgrade() else { return };
+        let exchange = exchange.clone();
+        tokio::task::spawn_local(async move {
+            match driver::connect(address, within).await {
+                Ok(stream) => {
+                    let outbox: Shared = Rc::default();
+                    me.borrow_mut().exchange_up(&exchange, id, outbox.clone());
+                    let mut decoder = jsonl::Decoder::default();
+                    let ended = driver::pump(stream, &outbox, |bytes| {
+                        decoder.feed(bytes);
+                        loop {
+                            match decoder.next() {
+                                Ok(Some(line)) => me.borrow_mut().exchange_line(&exchange, id, &line),
+                                Ok(None) => return ControlFlow::Continue(()),
+                                Err(why) => {
+                                    warn!(me.borrow().log, "exchange closed"; "why" => why, "exchange" => &*exchange.0);
+                                    return ControlFlow::Break(());
+                                }
+                            }
+                        }
+                    })
+                    .await;
+                    outbox.close();
+                    me.borrow_mut().exchange_down(&exchange, id, &ended);
+                }
+                Err(e) => me.borrow_mut().exchange_failed(&exchange, &e),
+            }
+        });
+    }
+
+    fn exchange_up(&mut self, exchange: &ExchangeId, id: ConnId, outbox: Shared) {
+        let now = self.clock.now();
+        debug!(self.log, "exchange connected"; "exchange" => &*exchange.0, "conn" => id.0);
+        if let Some(link) = self.links.get_mut(exchange) {
+            link.connected(now, id, outbox);
+        }
+    }
+
+    fn exchange_failed(&mut self, exchange: &ExchangeId, error: &io::Error) {
+        let now = self.clock.now();
+        let refused = error.kind() == io::ErrorKind::ConnectionRefused;
+        debug!(self.log, "no connection"; "exchange" => &*exchange.0, "error" => %error);
+        let Some(link) = self.links.get_mut(exchange) else { return };
+        let (unsent, died) = link.failed(now, if refused { Failure::Refused } else { Failure::Silent });
+        for id in unsent {
+            self.broke(exchange, &id, false);
+        }
+        if died {
+            // Its connections broke and nothing listens any more: what stood there was cut with it.
+            self.core.cut(now, exchange);
+        }
+        self.flush();
+    }
+
+    fn exchange_down(&mut self, exchange: &ExchangeId, id: ConnId, ended: &io::Result<()>) {
+        let now = self.clock.now();
+        debug!(self.log, "exchange disconnected"; "exchange" => &*exchange.0, "conn" => id.0, "end" => ?ended);
+        let Some(link) = self.links.get_mut(exchange) else { return };
+        for id in link.closed(now, id) {
+            self.broke(exchange, &id, true);
+        }
+        self.connect(exchange);
+        self.flush();
+    }
+
+    fn broke(&mut self, exchange: &ExchangeId, id: &CallId, ran: bool) {
+        let status = Link::status(ran);
+        if self.core.calls.open.get(id).is_some_and(|c| !c.stands) {
+            let reply = Reply::Ended { status, cause: None, report: Vec::new() };
+            self.core.reply(self.clock.now(), exchange, id, reply);
+        }
+    }
+
+    // ---- effects -------------------------------------------------------------------------------
+
+    /// Carries out what the core has decided.
+    fn flush(&mut self) {
+        loop {
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+        self.due.notify_one();
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        let now = self.clock.now();
+        match effect {
+            Effect::Start { exchange, call, class, number, left, description } => {
+                let class = self.class_names.get(class).map_or("", String::as_str);
+                let bytes = jsonl::start(&call.0, class, &number, left.as_millis(), &description);
+                if let Some(link) = self.links.get_mut(&exchange) {
+                    link.start(now, &call, bytes);
+                }
+                self.connect(&exchange);
+            }
+            Effect::Finish { exchange, call, cause } => {
+                let bytes = jsonl::finish(&call.0, cause);
+                match exchange {
+                    Some(exchange) => {
+                        if let Some(link) = self.links.get_mut(&exchange) {
+                            link.finish(now, &call, bytes);
+                        }
+                    }
+                    None => {
+                        for link in self.links.values_mut().filter(|l| l.listed) {
+                            link.finish(now, &call, bytes.clone());
+                        }
+                    }
+                }
+            }
+            Effect::Answer { call, description, .. } => match self.take_invite(&call) {
+                Some(invite) => {
+                    let answer = sip::response(200, &invite.echoed, None, description.as_bytes());
+                    self.say(invite.caller, &answer);
+                }
+                None => self.core.hang_up(now, &call, CUT),
+            },
+            Effect::Refuse { call, stay_away, .. } => {
+                if let Some(invite) = self.take_invite(&call) {
+                    let wait = stay_away.map(|d| d.as_millis());
+                    self.say(invite.caller, &sip::response(503, &invite.echoed, wait, b""));
+                }
+            }
+            Effect::Fail { call, .. } => {
+                if let Some(invite) = self.take_invite(&call) {
+                    self.say(invite.caller, &sip::response(500, &invite.echoed, None, b""));
+                }
+            }
+            Effect::Release { origin, call, cause } => self.release(origin.map(|o| o.0), call, cause),
+            Effect::TellAll(text) => self.tell_all(&text),
+            Effect::Log(line) => info!(self.log, "{}", line),
+        }
+    }
+
+    fn tell_all(&self, text: &str) {
+        if let (Some(socket), Some(all), true) = (&self.peer_socket, self.peers_all, text.len() <= DATAGRAM) {
+            if let Err(e) = socket.try_send_to(text.as_bytes(), all) {
+                debug!(self.log, "datagram not sent"; "error" => %e);
+            }
+        }
+    }
+}
+
+// ---- tasks -------------------------------------------------------------------------------------
+
+/// Does what is due, when it is due, and looks after the links.
+pub async fn keep_time(platform: Handle) {
+    let (clock, due) = (platform.borrow().clock, platform.borrow().due.clone());
+    let mut look = clock.now();
+    loop {
+        let next = platform.borrow().core.next_due().map_or(look, |at| at.min(look));
+        tokio::select! {
+            () = tokio::time::sleep_until(clock.instant(next)) => {}
+            () = due.notified() => {}
+        }
+        let mut platform = platform.borrow_mut();
+        let now = clock.now();
+        if platform.core.next_due().is_some_and(|at| at <= now) {
+            platform.core.wake(now);
+            platform.flush();
+        }
+        if now >= look {
+            look = now + LOOK;
+            let exchanges: Vec<ExchangeId> = platform.links.keys().cloned().collect();
+            exchanges.iter().for_each(|e| platform.connect(e));
+        }
+    }
+}
+
+/// Takes connections of callers.
+pub async fn accept(platform: Handle, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!(platform.borrow().log, "accept failed"; "error" => %e);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let outbox: Shared = Rc::new(Outbox::default());
+        let Some(caller) = platform.borrow_mut().caller_opened(outbox.clone()) else {
+            warn!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
+            continue;
+        };
+        let platform = platform.clone();
+        tokio::task::spawn_local(async move {
+            let mut decoder = sip::Decoder::default();
+            let ended = driver::pump(stream, &outbox, |bytes| {
+                decoder.feed(bytes);
+                loop {
+                    match decoder.next() {
+                        Ok(Some(message)) => platform.borrow_mut().caller_message(caller, message),
+                        Ok(None) => return ControlFlow::Continue(()),
+                        Err(e) => {
+                            warn!(platform.borrow().log, "caller closed"; "why" => e.why);
+                            outbox.push(&sip::response(e.status, "", None, b""));
+                            return ControlFlow::Break(());
+                        }
+                    }
+                }
+            })
+            .await;
+            outbox.close();
+            if let Err(e) = ended {
+                debug!(platform.borrow().log, "caller connection broke"; "error" => %e);
+            }
+            platform.borrow_mut().caller_closed(caller);
+        });
+    }
+}
+
+/// Follows the coordinator, connecting anew whenever it falls silent.
+pub async fn follow(platform: Handle, coordinator: SocketAddr) {
+    let (log, within) = (platform.borrow().log.clone(), platform.borrow().connect_timeout);
+    loop {
+        if let Ok(stream) = driver::connect(coordinator, within).await {
+            let outbox = Outbox::default();
+            let last = platform.borrow().last_event;
+            outbox.push(&coordinator::hello(last));
+            let mut decoder = coordinator::Decoder::default();
+            let heard = std::cell::Cell::new(tokio::time::Instant::now());
+            let pump = driver::pump(stream, &outbox, |bytes| {
+                heard.set(tokio::time::Instant::now());
+                decoder.feed(bytes);
+                loop {
+                    match decoder.next() {
+                        Ok(Some(frame)) => platform.borrow_mut().coordinator_frame(frame),
+                        Ok(None) => return ControlFlow::Continue(()),
+                        Err(why) => {
+                            warn!(log, "coordinator not understood"; "why" => why);
+                            return ControlFlow::Break(());
+                        }
+                    }
+                }
+            });
+            let watch = async {
+                while heard.get().elapsed() < COORDINATOR_SILENT {
+                    tokio::time::sleep_until(heard.get() + COORDINATOR_SILENT).await;
+                }
+            };
+            tokio::select! {
+                ended = pump => info!(log, "coordinator disconnected"; "end" => ?ended),
+                () = watch => info!(log, "coordinator silent"),
+            }
+        }
+        tokio::time::sleep(COORDINATOR_PAUSE).await;
+    }
+}
+
+/// Takes datagrams of other routers.
+pub async fn hear_peers(platform: Handle, socket: Rc<UdpSocket>, peers: Vec<SocketAddr>) {
+    platform.borrow_mut().peer_socket = Some(socket.clone());
+    let mut buffer = [0; 2 * DATAGRAM];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let sender = peers.iter().position(|p| *p == from).and_then(|n| u32::try_from(n).ok());
+        let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= DATAGRAM);
+        if let (Some(sender), Some(text)) = (sender, text) {
+            let mut platform = platform.borrow_mut();
+            let now = platform.clock.now();
+            platform.core.peer(now, sender, text.to_owned());
+            platform.flush();
+        }
+    }
+}
+
+/// How an attempt, or a call that stood, has ended.
+fn end_of(cause: Option<u32>, stood: bool) -> Status {
+    match (cause, stood) {
+        (Some(41), _) => Status::Reset,
+        (_, true) => Status::Ended,
+        (Some(34), false) => Status::Full,
+        (Some(102), false) => Status::Moot,
+        (Some(16), false) => Status::Cancelled,
+        _ => Status::Error,
+    }
+}
+
+fn cause_of(note: &str) -> Option<Cause> {
+    Some(match note {
+        "group_full" => Cause::NoCircuit,
+        "tandem_refused" => Cause::TurnedBack,
+        "destination_full" => Cause::TurnedBackFull,
+        "processor_full" => Cause::ProcessorFull(None),
+        "user_busy" => Cause::LinesBusy,
+        _ => return None,
+    })
+}
