--- a/src/wire/coordinator.rs
+++ b/src/wire/coordinator.rs
@@ -66,7 +66,7 @@
     ///
     /// # Errors
     /// When the bytes are no frame; the connection is then of no more use.
-    pub fn next(&mut self) -> Result<Option<Frame>, &'static str> {
+    pub fn take(&mut self) -> Result<Option<Frame>, &'static str> {
         if self.bytes.len() < 4 {
             return Ok(None);
         }
--- a/src/wire/jsonl.rs
+++ b/src/wire/jsonl.rs
@@ -67,7 +67,7 @@
     ///
     /// # Errors
     /// When a line is too long or is no message; the connection is then of no more use.
-    pub fn next(&mut self) -> Result<Option<Line>, &'static str> {
+    pub fn take(&mut self) -> Result<Option<Line>, &'static str> {
         loop {
             let end = self.bytes[self.searched..].iter().position(|b| *b == b'\n');
             let Some(end) = end.map(|e| e + self.searched) else {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,8 +2,12 @@
 //! no socket; [`driver`] and the fronts do the reading and writing.
 
 pub mod coordinator;
+pub mod dns;
 pub mod driver;
+pub mod enumeration;
 pub mod jsonl;
 pub mod link;
 pub mod platform;
 pub mod sip;
+pub mod standby;
+pub mod vrrp;
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -451,7 +451,7 @@
                     let ended = driver::pump(stream, &outbox, |bytes| {
                         decoder.feed(bytes);
                         loop {
-                            match decoder.next() {
+                            match decoder.take() {
                                 Ok(Some(line)) => me.borrow_mut().exchange_line(&exchange, id, &line),
                                 Ok(None) => return ControlFlow::Continue(()),
                                 Err(why) => {
@@ -639,7 +639,7 @@
             let ended = driver::pump(stream, &outbox, |bytes| {
                 decoder.feed(bytes);
                 loop {
-                    match decoder.next() {
+                    match decoder.take() {
                         Ok(Some(message)) => platform.borrow_mut().caller_message(caller, message),
                         Ok(None) => return ControlFlow::Continue(()),
                         Err(e) => {
@@ -674,7 +674,7 @@
                 heard.set(tokio::time::Instant::now());
                 decoder.feed(bytes);
                 loop {
-                    match decoder.next() {
+                    match decoder.take() {
                         Ok(Some(frame)) => platform.borrow_mut().coordinator_frame(frame),
                         Ok(None) => return ControlFlow::Continue(()),
                         Err(why) => {
--- a/src/wire/sip.rs
+++ b/src/wire/sip.rs
@@ -78,7 +78,7 @@
     ///
     /// # Errors
     /// When the stream holds no SIP: the connection is then of no more use.
-    pub fn next(&mut self) -> Result<Option<Message>, Malformed> {
+    pub fn take(&mut self) -> Result<Option<Message>, Malformed> {
         // Line breaks between messages are keep-alives (RFC 5626, 4.4.1).
         let blank = self.bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.bytes.drain(..blank);
