--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -2,12 +2,14 @@
 
 use std::collections::HashMap;
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use tinyjson::JsonValue;
 
 use crate::interface::*;
+use crate::wire::dns::Name;
+use crate::wire::vrrp;
 
 /// What is wrong with a configuration, and at which key.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -138,6 +140,42 @@
     pub lines: Vec<Listed>,
 }
 
+/// The ENUM front, where an operator's file sets it up.
+#[derive(Debug, Clone)]
+pub struct Enum {
+    /// Where queries arrive; `None`: numbers are looked up for calls only.
+    pub listen: Option<SocketAddr>,
+    /// The zone that numbers stand under.
+    pub zone: Name,
+    /// Upstream DNS servers, the first choice first.
+    pub upstreams: Vec<SocketAddr>,
+    /// A query to an upstream is given up after this.
+    pub query_timeout: Duration,
+    /// A resolver gets its answer within this.
+    pub answer_within: Duration,
+    /// Share of a call's time that its look-up may take.
+    pub share: f64,
+    /// Look-ups in hand at most; the last quarter is kept for calls.
+    pub most: usize,
+    /// Queries out to one upstream at most.
+    pub window: usize,
+    /// Hosts of SIP addresses, and the places that they stand for.
+    pub routes: HashMap<String, Place>,
+    /// What the front's decision module is told.
+    pub settings: Settings,
+}
+
+/// The virtual router, where an operator's file sets it up.
+#[derive(Debug, Clone)]
+pub struct Vrrp {
+    /// Where advertisements arrive.
+    pub listen: SocketAddr,
+    /// Where the other routers take them.
+    pub peers: Vec<SocketAddr>,
+    /// The virtual router.
+    pub setup: vrrp::Setup,
+}
+
 /// Everything the program is told.
 #[derive(Debug)]
 pub struct Config {
@@ -169,6 +207,12 @@
     pub gauge_names: Vec<String>,
     /// A connection must be up within this.
     pub connect_timeout: Duration,
+    /// The ENUM front; off unless set up.
+    pub enumeration: Option<Enum>,
+    /// The virtual router; off unless set up.
+    pub vrrp: Option<Vrrp>,
+    /// Commands are taken from the terminal.
+    pub console: bool,
 }
 
 impl Config {
@@ -216,10 +260,138 @@
             gauge_names: plain(settings.get("Stats").get("Names"))?,
             connect_timeout: if limit.is_zero() { Duration::from_millis(500) } else { limit },
             settings: read_settings(&settings)?,
+            enumeration: enumeration(&root.get("enum"))?,
+            vrrp: virtual_router(&root.get("vrrp"))?,
+            console: root.get("console").flag(false)?,
         })
     }
 }
 
+fn millis(node: &Node<'_>, default: u64) -> Read<Duration> {
+    match node.whole(default)? {
+        0 => node.wrong("must be more than 0"),
+        ms => Ok(Duration::from_millis(ms)),
+    }
+}
+
+/// A whole number within bounds.
+fn bounded(node: &Node<'_>, default: u64, least: u64, most: u64) -> Read<u64> {
+    let n = node.whole(default)?;
+    if (least..=most).contains(&n) {
+        return Ok(n);
+    }
+    node.wrong(&format!("must be from {least} to {most}"))
+}
+
+fn addresses(node: &Node<'_>) -> Read<Vec<SocketAddr>> {
+    let list: Vec<SocketAddr> = node.items()?.iter().map(Node::address).collect::<Read<_>>()?;
+    if list.is_empty() {
+        return node.wrong("must name an address");
+    }
+    Ok(list)
+}
+
+fn enumeration(root: &Node<'_>) -> Read<Option<Enum>> {
+    if root.value.is_none() {
+        return Ok(None);
+    }
+    let zone = root.get("zone");
+    let Some(name) = Name::parse(zone.text_if()?.unwrap_or("e164.arpa")) else {
+        return zone.wrong("must be a domain name");
+    };
+    let share = root.get("share");
+    let part = share.number(0.5)?;
+    if !(part > 0.0 && part < 1.0) {
+        return share.wrong("must lie between 0 and 1");
+    }
+    let routes = root.get("routes");
+    let mut hosts = HashMap::new();
+    for host in
+        routes.value.and_then(|v| v.get::<HashMap<String, JsonValue>>()).into_iter().flat_map(|m| m.keys())
+    {
+        // A host holds dots, so its path can't be walked with `get`.
+        let fields = routes.value.and_then(|v| v.get::<HashMap<String, JsonValue>>());
+        let place = Node { path: format!("enum.routes.{host}"), value: fields.and_then(|f| f.get(host)) };
+        hosts.insert(host.to_ascii_lowercase(), Place(place.small(0)?));
+    }
+    let upstreams = addresses(&root.get("upstreams"))?;
+    let window = bounded(&root.get("window"), 64, 1, 256)?;
+    let answer_within = millis(&root.get("answer_within_ms"), 4000)?;
+    let guard = millis(&root.get("guard_ms"), 500)?;
+    let attempts = bounded(&root.get("attempts"), 4, 1, 16)?;
+    Ok(Some(Enum {
+        listen: root.get("listen").address_if()?,
+        zone: name,
+        query_timeout: millis(&root.get("query_timeout_ms"), 1500)?,
+        answer_within,
+        share: part,
+        most: bounded(&root.get("most_look_ups"), 512, 8, 65_536)? as usize,
+        window: window as usize,
+        routes: hosts,
+        settings: pools(upstreams.len(), answer_within, guard, attempts as u32),
+        upstreams,
+    }))
+}
+
+/// Settings of a module whose exchanges are DNS servers: pools that every look-up may go to. Look-ups for
+/// calls are worth more than resolvers' queries, so they go first.
+fn pools(upstreams: usize, aim: Duration, guard: Duration, max_attempts: u32) -> Settings {
+    let class = |worth| Class {
+        aim,
+        deadline: aim,
+        worth,
+        late_share: 0.5,
+        effect: Effect::Safe,
+        width: 1,
+        holding: Duration::ZERO,
+        pools: (0..upstreams as u32).map(Place).collect(),
+    };
+    Settings {
+        classes: vec![class(1.0), class(10.0)],
+        tenants: Vec::new(),
+        over_share_worth: 0.0,
+        fleet_size: 1,
+        me: 0,
+        topology: Topology::Groups,
+        guard,
+        resend: Duration::ZERO,
+        contract: Contract::default(),
+        limits: Limits { max_attempts, ..Limits::default() },
+        gauges: vec![Gauge::Spare, Gauge::Total],
+        penalties: Penalties::default(),
+        registry_asks: false,
+        marks_retry: true,
+        advice: false,
+        tick: Duration::from_millis(5),
+    }
+}
+
+fn virtual_router(root: &Node<'_>) -> Read<Option<Vrrp>> {
+    if root.value.is_none() {
+        return Ok(None);
+    }
+    let list = root.get("addresses");
+    let address = |n: &Node<'_>| match n.text()?.parse::<Ipv4Addr>() {
+        Ok(address) => Ok(address),
+        Err(_) => n.wrong("must be an IPv4 address"),
+    };
+    let addresses_backed: Vec<Ipv4Addr> = list.items()?.iter().map(address).collect::<Read<_>>()?;
+    if !(1..=255).contains(&addresses_backed.len()) {
+        return list.wrong("must name 1 to 255 addresses");
+    }
+    Ok(Some(Vrrp {
+        listen: root.get("listen").address()?,
+        peers: addresses(&root.get("peers"))?,
+        setup: vrrp::Setup {
+            vrid: bounded(&root.get("vrid"), 1, 1, 255)? as u8,
+            priority: bounded(&root.get("priority"), 100, 1, 255)? as u8,
+            interval: bounded(&root.get("interval_cs"), 100, 1, 4095)? as u16,
+            preempt: root.get("preempt").flag(true)?,
+            addresses: addresses_backed,
+        },
+    }))
+}
+
 fn update(event: &Node<'_>, zones: &[String]) -> Read<Update> {
     let list = event.get("endpoints");
     let lines = list.get("hosts").items()?.iter().map(|l| listed(l, zones)).collect::<Read<_>>()?;
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -1,4 +1,5 @@
 //! Configuration, start and stop.
 
 pub mod config;
+pub mod console;
 pub mod run;
--- a/src/wire/dns.rs
+++ b/src/wire/dns.rs
@@ -321,7 +321,8 @@
     let room = to.room - if to.edns { 11 } else { 0 };
     let (mut count, mut truncated) = (0u16, false);
     for record in records {
-        let mut data = [record.order, record.preference].iter().flat_map(|w| w.to_be_bytes()).collect::<Vec<u8>>();
+        let mut data =
+            [record.order, record.preference].iter().flat_map(|w| w.to_be_bytes()).collect::<Vec<u8>>();
         for text in [&record.flags, &record.services, &record.regexp] {
             data.push(text.len() as u8);
             data.extend_from_slice(text);
@@ -427,9 +428,9 @@
 /// The host of a SIP address.
 pub fn host_of(uri: &str) -> Option<&str> {
     let scheme = uri.get(..4).filter(|s| s.eq_ignore_ascii_case("sip:"));
-    let rest = scheme.map(|_| &uri[4..]).or_else(|| {
-        uri.get(..5).filter(|s| s.eq_ignore_ascii_case("sips:")).map(|_| &uri[5..])
-    })?;
+    let rest = scheme
+        .map(|_| &uri[4..])
+        .or_else(|| uri.get(..5).filter(|s| s.eq_ignore_ascii_case("sips:")).map(|_| &uri[5..]))?;
     let host = rest.rsplit_once('@').map_or(rest, |(_, host)| host);
     host.split([':', ';', '?', '>']).next().filter(|h| !h.is_empty())
 }
--- a/src/wire/driver.rs
+++ b/src/wire/driver.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -18,6 +18,37 @@
 /// Connections waiting to be accepted.
 const ACCEPTS: u32 = 512;
 
+/// The Unix clock, read once; it never steps back.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// Reads the system's clock.
+    pub fn new() -> Self {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Self { start: Instant::now(), unix: unix.unwrap_or_default() }
+    }
+
+    /// Time since the Unix epoch.
+    pub fn now(&self) -> Duration {
+        self.unix + self.start.elapsed()
+    }
+
+    /// The instant at which the clock shows `at`.
+    pub fn instant(&self, at: Duration) -> tokio::time::Instant {
+        (self.start + at.saturating_sub(self.unix)).into()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// What is to be written on a connection, and whether it is to be closed.
 #[derive(Debug, Default)]
 pub struct Outbox {
--- /dev/null
+++ b/src/wire/enumeration.rs
@@ -0,0 +1,438 @@
+//! The ENUM front (RFC 6116): NAPTR queries from resolvers, and look-ups for calls that bring a number
+//! but no destination.
+//!
+//! Both are requests to a core of their own, whose exchanges are the upstream DNS servers and whose
+//! decision module sees them as pools. Each upstream query is an attempt.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{debug, info, warn, Logger};
+use tokio::net::UdpSocket;
+use tokio::sync::{oneshot, Notify};
+
+use super::dns::{self, Lead, Message, Name, Naptr};
+use super::driver::Clock;
+use crate::interface::*;
+use crate::lifecycle::config::Enum;
+use crate::memory::calls::Origin;
+use crate::memory::core::{Core, Effect, Reply, Request};
+use crate::Controller;
+
+/// Class of a resolver's query.
+pub const QUERY: usize = 0;
+/// Class of a look-up for a call; it goes before queries.
+pub const CALL: usize = 1;
+/// Non-terminal records followed for one call.
+const FOLLOWED: usize = 5;
+/// Queries read in one go before the others on this thread get their turn.
+///
+/// Guards set-ups against a flood of queries.
+const AT_ONCE: usize = 8;
+/// How often the room at the upstreams is told.
+const LOOK: Duration = Duration::from_millis(100);
+/// Largest datagram read.
+const DATAGRAM: usize = 4096;
+
+/// What a look-up found.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Found {
+    /// The upstream's response code.
+    pub rcode: u8,
+    /// Its records.
+    pub records: Vec<Naptr>,
+}
+
+/// Where a call is to go, or why not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Resolved {
+    /// To this place.
+    To(Place),
+    /// The number does not exist or leads nowhere that is served here.
+    Nowhere,
+    /// Not known in time.
+    Unknown,
+}
+
+#[derive(Debug)]
+enum Asker {
+    Resolver { from: SocketAddr, query: Message },
+    Call(oneshot::Sender<Option<Found>>),
+}
+
+#[derive(Debug)]
+struct Upstream {
+    address: SocketAddr,
+    out: HashMap<CallId, Rc<Cell<bool>>>,
+}
+
+/// The front and all that it holds.
+#[derive(Debug)]
+pub struct Front {
+    me: Weak<RefCell<Front>>,
+    /// The core behind it.
+    pub core: Core,
+    clock: Clock,
+    log: Logger,
+    setup: Enum,
+    /// Only the active of several routers answers.
+    active: Rc<Cell<bool>>,
+    socket: Option<Rc<UdpSocket>>,
+    askers: HashMap<CallId, Asker>,
+    /// Queries in hand, so that a resolver's repeat is not taken for another.
+    asked: HashSet<(SocketAddr, u16)>,
+    names: HashMap<CallId, Name>,
+    found: HashMap<CallId, Found>,
+    upstreams: BTreeMap<ExchangeId, Upstream>,
+    next: u64,
+    due: Rc<Notify>,
+}
+
+/// A front that its tasks share; none holds it across an await.
+pub type Handle = Rc<RefCell<Front>>;
+
+impl Front {
+    /// Makes the front and its core.
+    ///
+    /// # Errors
+    /// When the decision module takes the settings for senseless.
+    pub fn new(
+        setup: &Enum,
+        seed: u64,
+        log: Logger,
+        clock: Clock,
+        active: Rc<Cell<bool>>,
+    ) -> Result<Handle, SettingsError> {
+        let now = clock.now();
+        let mut core = Core::new(Controller::new(setup.settings.clone(), seed, now)?, now);
+        let id = |address: &SocketAddr| ExchangeId(address.to_string().into());
+        let entries = setup.upstreams.iter().zip(0..).map(|(address, place)| Entry {
+            exchange: id(address),
+            place: Place(place),
+            zone: 0,
+            health: Health::Live,
+            up_since: None,
+        });
+        core.directory(now, ListKind::Stored, entries.collect());
+        let upstream = |a: &SocketAddr| (id(a), Upstream { address: *a, out: HashMap::new() });
+        let upstreams = setup.upstreams.iter().map(upstream).collect();
+        Ok(Rc::new_cyclic(|me| {
+            let mut front = Self {
+                me: me.clone(),
+                core,
+                clock,
+                log,
+                setup: setup.clone(),
+                active,
+                socket: None,
+                askers: HashMap::new(),
+                asked: HashSet::new(),
+                names: HashMap::new(),
+                found: HashMap::new(),
+                upstreams,
+                next: 0,
+                due: Rc::default(),
+            };
+            front.tell_room();
+            RefCell::new(front)
+        }))
+    }
+
+    /// Look-ups in hand, and those of them for calls.
+    pub fn in_hand(&self) -> (usize, usize) {
+        let calls = self.askers.values().filter(|a| matches!(a, Asker::Call(_))).count();
+        (self.askers.len(), calls)
+    }
+
+    /// Upstream servers and the queries out to each.
+    pub fn upstreams(&self) -> impl Iterator<Item = (&ExchangeId, usize)> {
+        self.upstreams.iter().map(|(id, u)| (id, u.out.len()))
+    }
+
+    /// Answers what is still open, before the program ends.
+    pub fn finish(&mut self) {
+        self.core.finish(self.clock.now());
+        self.flush();
+    }
+
+    /// Tells the core how many more queries each upstream may get: its free 'agents'.
+    fn tell_room(&mut self) {
+        let (now, size) = (self.clock.now(), self.setup.window as f64);
+        let free: Vec<(ExchangeId, f64)> =
+            self.upstreams.iter().map(|(id, u)| (id.clone(), size - u.out.len() as f64)).collect();
+        for (id, free) in free {
+            self.core.report(now, &id, vec![free.max(0.0), size]);
+        }
+    }
+
+    fn begin(&mut self, asker: Asker, class: usize, name: Name, remaining: Duration) {
+        self.next += 1;
+        let id = CallId(format!("{:016x}", self.next).into());
+        let number: Arc<str> = name.to_string().into();
+        self.askers.insert(id.clone(), asker);
+        self.names.insert(id.clone(), name);
+        let offer = Offer {
+            call: id,
+            class,
+            tenant: 0,
+            number,
+            remaining,
+            dest: Place(0),
+            width: Some(1),
+            via: None,
+            again: false,
+            transit: false,
+            reconnect: false,
+        };
+        let request = Request { origin: Origin(self.next), offer, description: "".into() };
+        self.core.request(self.clock.now(), request);
+        self.flush();
+    }
+
+    fn datagram(&mut self, from: SocketAddr, bytes: &[u8]) {
+        if !self.active.get() {
+            return;
+        }
+        let Some((id, response)) = dns::id_of(bytes) else { return };
+        if response {
+            return; // guards against two servers that answer each other for ever
+        }
+        let Some(query) = dns::read(bytes) else { return self.say(from, &dns::formerr(id)) };
+        let name = match dns::served(&query, &self.setup.zone) {
+            Ok(name) => name,
+            Err(rcode) => return self.say(from, &dns::response(&query, rcode, &[])),
+        };
+        if self.asked.contains(&(from, id)) {
+            return;
+        }
+        // The last quarter is kept for calls.
+        if self.askers.len() >= self.setup.most - self.setup.most / 4 {
+            return self.say(from, &dns::response(&query, dns::SERVFAIL, &[]));
+        }
+        self.asked.insert((from, id));
+        let within = self.setup.answer_within;
+        self.begin(Asker::Resolver { from, query }, QUERY, name, within);
+    }
+
+    fn say(&self, to: SocketAddr, bytes: &[u8]) {
+        if let Some(socket) = &self.socket {
+            if let Err(e) = socket.try_send_to(bytes, to) {
+                debug!(self.log, "response not sent"; "error" => %e);
+            }
+        }
+    }
+
+    fn flush(&mut self) {
+        loop {
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            effects.into_iter().for_each(|effect| self.carry_out(effect));
+        }
+        self.due.notify_one();
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Start { exchange, call, left, .. } => self.query(&exchange, &call, left),
+            Effect::Finish { exchange: Some(exchange), call, .. } => self.forget(&exchange, &call),
+            Effect::Answer { call, .. } => {
+                let found = self.found.remove(&call);
+                self.conclude(&call, found);
+            }
+            Effect::Refuse { call, .. } | Effect::Fail { call, .. } => self.conclude(&call, None),
+            Effect::Log(line) => info!(self.log, "{}", line; "front" => "enum"),
+            Effect::Finish { .. } | Effect::Release { .. } | Effect::TellAll(_) => {}
+        }
+    }
+
+    /// The one final answer of a look-up.
+    fn conclude(&mut self, call: &CallId, found: Option<Found>) {
+        self.names.remove(call);
+        match self.askers.remove(call) {
+            Some(Asker::Resolver { from, query }) => {
+                self.asked.remove(&(from, query.id));
+                let response = match &found {
+                    Some(found) => dns::response(&query, found.rcode, &found.records),
+                    None => dns::response(&query, dns::SERVFAIL, &[]),
+                };
+                self.say(from, &response);
+            }
+            // Whoever asked for a call may have stopped waiting.
+            Some(Asker::Call(asker)) => drop(asker.send(found)),
+            None => {}
+        }
+    }
+
+    fn forget(&mut self, exchange: &ExchangeId, call: &CallId) {
+        if let Some(given_up) = self.upstreams.get_mut(exchange).and_then(|u| u.out.remove(call)) {
+            given_up.set(true);
+        }
+    }
+
+    /// Sends one query; its task ends with a reply, a failure or the time-out.
+    fn query(&mut self, exchange: &ExchangeId, call: &CallId, left: Duration) {
+        let (Some(me), Some(name)) = (self.me.upgrade(), self.names.get(call).cloned()) else { return };
+        let Some(upstream) = self.upstreams.get_mut(exchange) else { return };
+        let (address, given_up) = (upstream.address, Rc::new(Cell::new(false)));
+        upstream.out.insert(call.clone(), given_up.clone());
+        let within = left.min(self.setup.query_timeout);
+        let (exchange, call) = (exchange.clone(), call.clone());
+        tokio::task::spawn_local(async move {
+            let asked = tokio::time::timeout(within, ask(address, &name)).await;
+            if !given_up.get() {
+                me.borrow_mut().replied(&exchange, &call, asked.unwrap_or(Err(Failed::Silent)));
+            }
+        });
+    }
+
+    fn replied(&mut self, exchange: &ExchangeId, call: &CallId, reply: Result<Message, Failed>) {
+        self.forget(exchange, call);
+        let now = self.clock.now();
+        let status = match reply {
+            Err(Failed::Silent) => Status::TimedOut,
+            Err(Failed::Unreachable) => Status::Unreachable,
+            // What does not fit a datagram can't be read whole here: an error, not an answer.
+            Ok(reply) if reply.truncated => Status::Error,
+            Ok(reply) => match reply.rcode {
+                dns::NOERROR | dns::NXDOMAIN => {
+                    self.found.insert(call.clone(), Found { rcode: reply.rcode, records: reply.records });
+                    self.core.reply(now, exchange, call, Reply::Stands("".into()));
+                    Status::Ended
+                }
+                // Not resolved by this one; another may.
+                dns::SERVFAIL | dns::REFUSED => Status::Full,
+                _ => Status::Error,
+            },
+        };
+        if status != Status::Ended {
+            debug!(self.log, "look-up attempt failed"; "upstream" => &*exchange.0, "how" => ?status);
+        }
+        self.core.reply(now, exchange, call, Reply::Ended { status, cause: None, report: Vec::new() });
+        self.found.remove(call);
+        self.tell_room();
+        self.flush();
+    }
+
+    /// The place that a lead's host stands for.
+    fn place(&self, lead: &Lead) -> Option<Place> {
+        let Lead::Uri(uri) = lead else { return None };
+        let host = dns::host_of(uri)?.to_ascii_lowercase();
+        self.setup.routes.get(&host).copied()
+    }
+}
+
+#[derive(Debug)]
+enum Failed {
+    Silent,
+    Unreachable,
+}
+
+/// One query and its reply: from a port of its own, with a random id; anything else that arrives there
+/// is passed over, since anyone can send it.
+async fn ask(upstream: SocketAddr, name: &Name) -> Result<Message, Failed> {
+    let local: SocketAddr = if upstream.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
+    let unreachable = |_: io::Error| Failed::Unreachable;
+    let socket = UdpSocket::bind(local).await.map_err(unreachable)?;
+    socket.connect(upstream).await.map_err(unreachable)?;
+    let mut id = [0; 2];
+    getrandom::fill(&mut id).map_err(|_| Failed::Unreachable)?;
+    let id = u16::from_be_bytes(id);
+    socket.send(&dns::query(id, name)).await.map_err(unreachable)?;
+    let mut buffer = [0; DATAGRAM];
+    loop {
+        let length = socket.recv(&mut buffer).await.map_err(unreachable)?;
+        let Some(reply) = dns::read(&buffer[..length]) else { continue };
+        let question = reply.question.as_ref();
+        let same = question.is_some_and(|(n, kind, class)| n == name && (*kind, *class) == (dns::NAPTR, 1));
+        if reply.response && reply.opcode == 0 && reply.id == id && same {
+            return Ok(reply);
+        }
+    }
+}
+
+// ---- tasks -------------------------------------------------------------------------------------
+
+/// Looks a number up for a call, following names that lead on, within a time.
+pub async fn resolve(front: Handle, number: String, within: Duration) -> Resolved {
+    let search = async {
+        let zone = front.borrow().setup.zone.clone();
+        let Some(mut name) = dns::name_of(&number, &zone) else { return Resolved::Nowhere };
+        let digits: String = number.chars().filter(char::is_ascii_digit).collect();
+        let (full, end) = (format!("+{digits}"), tokio::time::Instant::now() + within);
+        for _ in 0..FOLLOWED {
+            let (sender, answer) = oneshot::channel();
+            {
+                let mut front = front.borrow_mut();
+                if front.askers.len() >= front.setup.most {
+                    return Resolved::Unknown;
+                }
+                let left = end.saturating_duration_since(tokio::time::Instant::now());
+                front.begin(Asker::Call(sender), CALL, name.clone(), left);
+            }
+            let Ok(Some(found)) = answer.await else { return Resolved::Unknown };
+            let leads = dns::leads(&found.records, &full);
+            // Leads to hosts that are not served here are passed over, as are circles.
+            let front = front.borrow();
+            let next = leads.iter().find_map(|lead| match lead {
+                Lead::On(on) => Some(Err(on.clone())),
+                uri => front.place(uri).map(Ok),
+            });
+            match next {
+                Some(Ok(place)) => return Resolved::To(place),
+                Some(Err(on)) if on != name => name = on,
+                _ => return Resolved::Nowhere,
+            }
+        }
+        Resolved::Nowhere
+    };
+    tokio::time::timeout(within, search).await.unwrap_or(Resolved::Unknown)
+}
+
+/// Takes queries.
+pub async fn answer(front: Handle, socket: UdpSocket) {
+    let socket = Rc::new(socket);
+    front.borrow_mut().socket = Some(socket.clone());
+    let mut buffer = [0; DATAGRAM];
+    let mut read = 0;
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => front.borrow_mut().datagram(from, &buffer[..length]),
+            Err(e) => warn!(front.borrow().log, "query not read"; "error" => %e),
+        }
+        read += 1;
+        if read % AT_ONCE == 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Does what is due, when it is due.
+pub async fn keep_time(front: Handle) {
+    let (clock, due) = (front.borrow().clock, front.borrow().due.clone());
+    let mut look = clock.now();
+    loop {
+        let next = front.borrow().core.next_due().map_or(look, |at| at.min(look));
+        tokio::select! {
+            () = tokio::time::sleep_until(clock.instant(next)) => {}
+            () = due.notified() => {}
+        }
+        let mut front = front.borrow_mut();
+        let now = clock.now();
+        if front.core.next_due().is_some_and(|at| at <= now) {
+            front.core.wake(now);
+            front.flush();
+        }
+        if now >= look {
+            look = now + LOOK;
+            front.tell_room();
+            front.flush();
+        }
+    }
+}
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -9,13 +9,14 @@
 use std::ops::ControlFlow;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::{debug, info, warn, Logger};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 
-use super::driver::{self, Outbox, Shared};
+use super::driver::{self, Clock, Outbox, Shared};
+use super::enumeration::{self, Resolved};
 use super::link::{ConnId, Failure, Link};
 use super::sip::{Message, Start};
 use super::{coordinator, jsonl, sip};
@@ -40,37 +41,6 @@
 /// Largest datagram between routers.
 const DATAGRAM: usize = 256;
 
-/// The Unix clock, read once; it never steps back.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    /// Reads the system's clock.
-    pub fn new() -> Self {
-        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        Self { start: Instant::now(), unix: unix.unwrap_or_default() }
-    }
-
-    /// Time since the Unix epoch.
-    pub fn now(&self) -> Duration {
-        self.unix + self.start.elapsed()
-    }
-
-    /// The instant at which the clock shows `at`.
-    pub fn instant(&self, at: Duration) -> tokio::time::Instant {
-        (self.start + at.saturating_sub(self.unix)).into()
-    }
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 #[derive(Debug)]
 struct Caller {
     outbox: Shared,
@@ -111,6 +81,8 @@
     links: BTreeMap<ExchangeId, Link>,
     next_conn: u64,
     draining: bool,
+    /// Looks numbers up, where that is set up, and for which share of a call's time.
+    look_up: Option<(enumeration::Handle, f64)>,
     started: Duration,
     peer_socket: Option<Rc<UdpSocket>>,
     peers_all: Option<SocketAddr>,
@@ -146,6 +118,7 @@
                 links: BTreeMap::new(),
                 next_conn: 0,
                 draining: false,
+                look_up: None,
                 started: now,
                 peer_socket: None,
                 peers_all: config.peers_all,
@@ -169,15 +142,27 @@
         self.draining = true;
     }
 
-    /// Set-ups that still have no final answer.
+    /// Whether tests are refused.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Has numbers looked up for calls that bring no destination, within a share of their time.
+    pub fn set_look_up(&mut self, front: enumeration::Handle, share: f64) {
+        self.look_up = Some((front, share));
+    }
+
+    /// Set-ups that still have no final answer, those whose number is being looked up included.
     pub fn unanswered(&self) -> usize {
-        self.core.calls.unanswered()
+        self.invites.len()
     }
 
     /// Answers what is still open, before the program ends.
     pub fn finish(&mut self) {
         self.core.finish(self.clock.now());
         self.flush();
+        let looked_up: Vec<CallId> = self.invites.keys().cloned().collect();
+        looked_up.iter().for_each(|id| self.turn_away(id, 503));
     }
 
     /// Connections to each exchange, for the console.
@@ -293,9 +278,9 @@
         let place =
             |name| figure(name).filter(|n| (0.0..=f64::from(u32::MAX)).contains(n)).map(|n| Place(n as u32));
         let description = std::str::from_utf8(&message.body);
-        let (Some(class), Some(limit), Some(dest), Ok(description)) =
-            (class, limit, place("dest"), description)
-        else {
+        let dest = place("dest");
+        let known = dest.is_some() || (self.look_up.is_some() && figure("dest").is_none());
+        let (Some(class), Some(limit), true, Ok(description)) = (class, limit, known, description) else {
             warn!(self.log, "set-up not understood"; "call" => &*id.0, "dest" => list);
             return self.say(caller, &sip::response(400, &echoed, None, b""));
         };
@@ -308,7 +293,7 @@
             tenant: 0,
             number,
             remaining: limit.saturating_sub(ON_THE_WAY),
-            dest,
+            dest: dest.unwrap_or(Place(0)),
             width: figure("width").filter(|w| *w >= 0.0).map(|w| w as u32),
             via: place("via"),
             again: message.header("X-Again") == Some("1"),
@@ -319,7 +304,44 @@
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.invites.insert(id);
         }
-        self.core.request(now, Request { origin: Origin(caller), offer, description: description.into() });
+        let request = Request { origin: Origin(caller), offer, description: description.into() };
+        match dest {
+            Some(_) => self.core.request(now, request),
+            None => self.look_up(now, request),
+        }
+    }
+
+    /// Finds the destination of a call that brings only a number, then routes it with the time it has left.
+    fn look_up(&mut self, now: Duration, mut request: Request) {
+        let (Some((front, share)), Some(me)) = (self.look_up.clone(), self.me.upgrade()) else { return };
+        let deadline = now + request.offer.remaining;
+        let within = request.offer.remaining.mul_f64(share);
+        tokio::task::spawn_local(async move {
+            let found = enumeration::resolve(front, request.offer.number.to_string(), within).await;
+            let mut platform = me.borrow_mut();
+            let id = request.offer.call.clone();
+            if !platform.invites.contains_key(&id) {
+                return; // the caller has gone
+            }
+            let now = platform.clock.now();
+            match found {
+                Resolved::To(place) => {
+                    request.offer.dest = place;
+                    request.offer.remaining = deadline.saturating_sub(now);
+                    platform.core.request(now, request);
+                }
+                Resolved::Nowhere => platform.turn_away(&id, 404),
+                Resolved::Unknown => platform.turn_away(&id, 503),
+            }
+            platform.flush();
+        });
+    }
+
+    /// Final answer to a call that never reached the core.
+    fn turn_away(&mut self, id: &CallId, status: u16) {
+        if let Some(invite) = self.take_invite(id) {
+            self.say(invite.caller, &sip::response(status, &invite.echoed, None, b""));
+        }
     }
 
     /// The caller has given a set-up up.
--- a/src/wire/vrrp.rs
+++ b/src/wire/vrrp.rs
@@ -178,7 +178,12 @@
     ///
     /// # Errors
     /// Says why it was discarded.
-    pub fn hear(&mut self, now: Duration, from: SocketAddr, bytes: &[u8]) -> Result<Option<Vec<u8>>, &'static str> {
+    pub fn hear(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) -> Result<Option<Vec<u8>>, &'static str> {
         let heard = Advertisement::decode(bytes)?;
         if heard.vrid != self.setup.vrid {
             return Err("another virtual router");
