--- a/src/wire/enumeration.rs
+++ b/src/wire/enumeration.rs
@@ -315,9 +315,9 @@
             debug!(self.log, "look-up attempt failed"; "upstream" => &*exchange.0, "how" => ?status);
         }
         self.core.reply(now, exchange, call, Reply::Ended { status, cause: None, report: Vec::new() });
-        self.found.remove(call);
         self.tell_room();
         self.flush();
+        self.found.remove(call); // left only if nobody waits any more
     }
 
     /// The place that a lead's host stands for.
--- /dev/null
+++ b/tests/enumeration.rs
@@ -0,0 +1,407 @@
+//! The ENUM front, VRRP and their state machines: the router as a process between resolvers, callers and
+//! stand-in DNS servers, and the protocols fed by hand.
+
+mod stand;
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::{SocketAddr, UdpSocket};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use quartzspindle::wire::dns::{self, Lead, Message, Name, Naptr};
+use quartzspindle::wire::vrrp::{Advertisement, Router as Virtual, Setup, State};
+use rstest::rstest;
+use serde_json::{json, Value};
+use stand::*;
+
+fn name(text: &str) -> Name {
+    Name::parse(text).unwrap()
+}
+
+fn naptr(order: u16, preference: u16, flags: &str, services: &str, regexp: &str) -> Naptr {
+    let replacement =
+        dns::read(&[0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 35, 0, 1]).unwrap().question.unwrap().0;
+    let (flags, services, regexp) = (flags.into(), services.into(), regexp.into());
+    Naptr { ttl: 60, order, preference, flags, services, regexp, replacement }
+}
+
+fn to_place(place: u32) -> Naptr {
+    naptr(10, 10, "u", "E2U+sip", &format!("!^.*$!sip:\\\\0@place{place}.example!").replace("\\\\0", "info"))
+}
+
+/// What a stand-in server does with its n-th query.
+enum Does {
+    Answer(u8, Vec<Naptr>),
+    Later(Duration, Vec<Naptr>),
+    Drop,
+    Raw(fn(&Message, &[u8]) -> Vec<Vec<u8>>),
+}
+
+fn server(mut behave: impl FnMut(usize) -> Does + Send + 'static) -> SocketAddr {
+    let socket = UdpSocket::bind(any_port()).unwrap();
+    let address = socket.local_addr().unwrap();
+    thread::spawn(move || {
+        let mut buffer = [0; 1500];
+        for n in 0.. {
+            let Ok((length, from)) = socket.recv_from(&mut buffer) else { return };
+            let query = dns::read(&buffer[..length]).unwrap();
+            match behave(n) {
+                Does::Drop => {}
+                Does::Answer(rcode, records) => {
+                    socket.send_to(&dns::response(&query, rcode, &records), from).unwrap();
+                }
+                Does::Later(after, records) => {
+                    let socket = socket.try_clone().unwrap();
+                    thread::spawn(move || {
+                        thread::sleep(after);
+                        let _ = socket.send_to(&dns::response(&query, 0, &records), from);
+                    });
+                }
+                Does::Raw(make) => {
+                    make(&query, &buffer[..length]).iter().for_each(|r| drop(socket.send_to(r, from)));
+                }
+            }
+        }
+    });
+    address
+}
+
+fn with_enum(exchanges: &[SocketAddr], upstreams: &[SocketAddr], more: &Value) -> Value {
+    let mut config = config(exchanges);
+    let upstreams: Vec<String> = upstreams.iter().map(ToString::to_string).collect();
+    config["enum"] = json!({"listen": "127.0.0.1:0", "upstreams": upstreams, "answer_within_ms": 3000,
+        "query_timeout_ms": 700, "routes": {"place1.example": 1}});
+    for (key, value) in more.as_object().unwrap() {
+        config["enum"][key] = value.clone();
+    }
+    config
+}
+
+fn ask(socket: &UdpSocket, to: SocketAddr, id: u16, name_text: &str) -> Message {
+    socket.send_to(&dns::query(id, &name(name_text)), to).unwrap();
+    let mut buffer = [0; 1500];
+    let length = socket.recv(&mut buffer).unwrap();
+    dns::read(&buffer[..length]).unwrap()
+}
+
+const NUMBER: &str = "5.4.3.2.1.6.8.3.e164.arpa";
+
+fn other_id(query: &Message, _: &[u8]) -> Vec<Vec<u8>> {
+    let mut forged = query.clone();
+    forged.id = forged.id.wrapping_add(1);
+    let mut elsewhere = query.clone();
+    elsewhere.question = Some((name("1.e164.arpa"), 35, 1));
+    let good = dns::response(query, 0, &[to_place(1)]);
+    vec![dns::response(&forged, 3, &[]), dns::response(&elsewhere, 3, &[]), vec![1, 2, 3], good]
+}
+
+fn truncated(query: &Message, _: &[u8]) -> Vec<Vec<u8>> {
+    let mut response = dns::response(query, 0, &[]);
+    response[2] |= 2;
+    vec![response]
+}
+
+#[rstest]
+#[case::found(|_| Does::Answer(0, vec![to_place(1)]), 0, 1)]
+#[case::no_such_number(|_| Does::Answer(3, vec![]), 3, 0)]
+#[case::forged_replies_are_passed_over(|_| Does::Raw(other_id), 0, 1)]
+#[case::server_fails(|_| Does::Answer(2, vec![]), 2, 0)]
+#[case::truncated(|_| Does::Raw(truncated), 2, 0)]
+#[case::lost_once(|n| if n == 0 { Does::Drop } else { Does::Answer(0, vec![to_place(1)]) }, 0, 1)]
+#[case::lost_always(|_| Does::Drop, 2, 0)]
+fn a_resolver_gets_one_answer(#[case] behave: fn(usize) -> Does, #[case] rcode: u8, #[case] records: usize) {
+    let mut router = Router::start(&with_enum(&[], &[server(behave)], &json!({})));
+    let (to, socket) = (router.address("answering look-ups"), resolver());
+    let answer = ask(&socket, to, 7, NUMBER);
+    assert!(answer.response && answer.id == 7);
+    assert_eq!((answer.rcode, answer.records.len()), (rcode, records));
+    socket.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    assert!(socket.recv(&mut [0; 100]).is_err(), "a second answer");
+}
+
+#[test]
+fn a_refusing_server_is_passed_over_for_the_next() {
+    let upstreams = [server(|_| Does::Answer(5, vec![])), server(|_| Does::Answer(0, vec![to_place(1)]))];
+    let mut router = Router::start(&with_enum(&[], &upstreams, &json!({})));
+    let to = router.address("answering look-ups");
+    assert_eq!(ask(&resolver(), to, 8, NUMBER).records, vec![to_place(1)]);
+}
+
+#[rstest]
+#[case::not_a_number("www.e164.arpa", 3)]
+#[case::another_zone("www.example", 5)]
+fn what_is_not_served_is_refused(#[case] asked: &str, #[case] rcode: u8) {
+    let mut router = Router::start(&with_enum(&[], &[server(|_| Does::Drop)], &json!({})));
+    let (to, socket) = (router.address("answering look-ups"), resolver());
+    assert_eq!(ask(&socket, to, 9, asked).rcode, rcode);
+    // Garbage with a header gets FORMERR, what is a response or less than a header gets nothing.
+    socket.send_to(&[1; 5], to).unwrap();
+    socket.send_to(&dns::response(&dns::read(&dns::query(1, &name(NUMBER))).unwrap(), 0, &[]), to).unwrap();
+    socket.send_to(&[0, 9, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0xc0, 0x0c, 0, 35, 0, 1], to).unwrap();
+    let mut buffer = [0; 100];
+    let length = socket.recv(&mut buffer).unwrap();
+    assert_eq!((&buffer[..2], buffer[3] & 15, length), (&[0u8, 9][..], 1, 12));
+}
+
+#[rstest]
+#[case::found(|_| Does::Answer(0, vec![to_place(1)]), None)]
+#[case::no_such_number(|_| Does::Answer(3, vec![]), Some(404))]
+#[case::leads_elsewhere(|_| Does::Answer(0, vec![to_place(9)]), Some(404))]
+#[case::server_fails(|_| Does::Answer(2, vec![]), Some(503))]
+#[case::lost(|_| Does::Drop, Some(503))]
+fn a_call_with_only_a_number_is_looked_up_and_routed(
+    #[case] behave: fn(usize) -> Does,
+    #[case] refused: Option<u32>,
+) {
+    let exchange = Exchange::start();
+    let router = Router::start(&with_enum(&[exchange.address], &[server(behave)], &json!({})));
+    let mut caller = router.caller();
+    caller.ready();
+    let begun = Instant::now();
+    let headers = "X-Call-Class: voice\r\nX-Ring-Limit: 2000\r\n";
+    caller.request("INVITE", "00000000000000e1", headers, BODY);
+    if refused.is_none() {
+        let (start, stream, _) = exchange.hear("START");
+        assert_eq!(start["blob"], BODY);
+        started(&stream, "00000000000000e1");
+    }
+    let status = refused.unwrap_or(200);
+    assert!(caller.hear().first.contains(&format!(" {status} ")));
+    assert!(begun.elapsed() < Duration::from_millis(2000));
+}
+
+/// A fifth of the queries is lost and the rest is late by seconds: each call still gets its one answer.
+#[test]
+fn with_a_slow_and_lossy_server_every_call_gets_exactly_one_answer_in_time() {
+    const CALLS: u32 = 40;
+    let late = |n| Does::Later(Duration::from_millis(1000 + 400 * (n as u64 % 4)), vec![to_place(1)]);
+    let upstream = server(move |n| if n % 5 == 4 { Does::Drop } else { late(n) });
+    let exchange = Exchange::start();
+    let slow = json!({"query_timeout_ms": 2500, "share": 0.6, "answer_within_ms": 6000});
+    let router = Router::start(&with_enum(&[exchange.address], &[upstream], &slow));
+    let mut caller = router.caller();
+    caller.ready();
+    let address = exchange.address;
+    thread::spawn(move || {
+        let _ = address;
+        while let Some((start, stream, _)) = exchange.heard_within("START", LIMIT) {
+            started(&stream, start["tag"].as_str().unwrap());
+        }
+    });
+    let mut asked = BTreeMap::new();
+    for call in 0..CALLS {
+        let headers = "X-Call-Class: voice\r\nX-Ring-Limit: 8000\r\n";
+        let id = format!("{:016x}", 0xf00 + call);
+        caller.request("INVITE", &id, headers, BODY);
+        asked.insert(id, Instant::now());
+        thread::sleep(Duration::from_millis(50)); // the callers' own pace
+    }
+    let (mut stood, mut answered) = (0, HashSet::new());
+    while answered.len() < asked.len() {
+        let answer = caller.hear();
+        let id = answer.head.lines().find_map(|l| l.strip_prefix("Call-ID: ")).unwrap().to_owned();
+        assert!(asked[&id].elapsed() < Duration::from_secs(8), "{id} too late");
+        stood += u32::from(answer.first.contains(" 200 "));
+        assert!(answered.insert(id), "a second answer");
+    }
+    assert!(caller.within(Duration::from_millis(500)).is_none(), "one answer too many");
+    assert!(stood > 0, "no call stood");
+    println!("{stood} of {CALLS} stood");
+}
+
+/// A flood of look-ups does not hold up set-ups, nor the look-ups that calls need.
+#[test]
+fn a_flood_of_look_ups_does_not_starve_set_ups() {
+    let exchange = Exchange::start();
+    let upstream = server(|_| Does::Later(Duration::from_millis(300), vec![to_place(1)]));
+    let config = with_enum(&[exchange.address], &[upstream], &json!({"most_look_ups": 64}));
+    let mut router = Router::start(&config);
+    let (to, socket) = (router.address("answering look-ups"), resolver());
+    let mut caller = router.caller();
+    caller.ready();
+    thread::scope(|scope| {
+        let flood = scope.spawn(|| {
+            for n in 0..20_000u32 {
+                let query = dns::query(n as u16, &name(&format!("{}.{}.{NUMBER}", n / 10 % 10, n % 10)));
+                socket.send_to(&query, to).unwrap();
+                if n % 100 == 0 {
+                    thread::sleep(Duration::from_millis(5)); // some 20,000 a second
+                }
+            }
+        });
+        for call in 0..50 {
+            let begun = Instant::now();
+            let id = format!("{:016x}", 0xd00 + call);
+            caller.invite(&id, 1, 1000);
+            let (_, stream, _) = exchange.hear("START");
+            started(&stream, &id);
+            assert!(caller.hear().first.contains(" 200 "));
+            assert!(begun.elapsed() < Duration::from_millis(200), "{:?}", begun.elapsed());
+        }
+        flood.join().unwrap();
+    });
+}
+
+// ---- DNS by hand -------------------------------------------------------------------------------
+
+#[rstest]
+#[case::own_place(&[0xc0, 0x0c])]
+#[case::forward(&[0xc0, 0x20])]
+#[case::circle(&[1, b'a', 0xc0, 0x0c])]
+#[case::reserved(&[0x80, 0])]
+#[case::cut_short(&[5, b'a'])]
+fn a_bad_name_is_no_message(#[case] bytes: &[u8]) {
+    let mut message = vec![0, 1, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0];
+    message.extend_from_slice(bytes);
+    message.extend([0, 35, 0, 1]);
+    assert_eq!(dns::read(&message), None);
+}
+
+#[test]
+fn a_compressed_answer_is_read() {
+    let mut bytes = dns::query(5, &name(NUMBER));
+    bytes.truncate(bytes.len() - 11);
+    bytes[2] |= 0x80;
+    bytes[7] = 1;
+    bytes[11] = 0;
+    bytes.extend([0xc0, 0x0c, 0, 35, 0, 1, 0, 0, 0, 60, 0, 9, 0, 1, 0, 2, 0, 0, 0, 0xc0, 0x0c]);
+    let message = dns::read(&bytes).unwrap();
+    assert_eq!(dns::leads(&message.records, "+1"), vec![Lead::On(name(NUMBER))]);
+}
+
+#[test]
+fn leads_come_by_order_then_preference_and_only_usable_ones() {
+    let records = [
+        naptr(20, 1, "u", "E2U+sip", "!^.*$!sip:third@example!"),
+        naptr(10, 9, "U", "e2u+SIP", "!^\\+386(.*)$!sip:\\1@second.example!"),
+        naptr(10, 1, "u", "E2U+email:mailto", "!^.*$!mailto:no@example!"),
+        naptr(10, 2, "u", "E2U+sip", "!^\\+44!sip:no@example!"),
+        naptr(10, 3, "u", "E2U+sip", "!broken"),
+        naptr(10, 4, "s", "E2U+sip", "!^.*$!sip:no@example!"),
+        naptr(10, 5, "u", "E2U+pres+sip", "#^\\+386(1)#SIP:\\1\\#x@FIRST.example:5060;a=b#i"),
+    ];
+    let uris = ["SIP:1#x@FIRST.example:5060;a=b2345", "sip:12345@second.example", "sip:third@example"];
+    let leads = dns::leads(&records, "+38612345");
+    assert_eq!(leads, uris.map(|u| Lead::Uri(u.to_owned())));
+    assert_eq!(dns::host_of(uris[0]), Some("FIRST.example"));
+}
+
+// ---- VRRP --------------------------------------------------------------------------------------
+
+fn setup(priority: u8, preempt: bool) -> Setup {
+    Setup { vrid: 7, priority, interval: 100, preempt, addresses: vec![[10, 0, 0, 1].into()] }
+}
+
+fn advert(priority: u8) -> Vec<u8> {
+    let addresses = vec![[10, 0, 0, 1].into()];
+    Advertisement { vrid: 7, priority, interval: 100, addresses }.encode()
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn a_backup_takes_over_after_three_intervals_and_its_skew_and_stops_with_priority_zero() {
+    let mut router = Virtual::new(setup(128, true), address(5));
+    assert_eq!(router.state(), State::Initialize);
+    assert_eq!(router.start(ms(0)), None);
+    assert_eq!((router.state(), router.due()), (State::Backup, Some(ms(3500))));
+    router.hear(ms(1000), address(9), &advert(128)).unwrap();
+    assert_eq!(router.tick(ms(4499)), None);
+    assert_eq!(router.tick(ms(4500)), Some(advert(128)));
+    assert_eq!((router.state(), router.due()), (State::Active, Some(ms(5500))));
+    assert_eq!(router.stop(ms(5000)), Some(advert(0)));
+    assert_eq!((router.state(), router.due()), (State::Initialize, None));
+}
+
+#[rstest]
+#[case::stops(true, 0, State::Backup, 500)]
+#[case::lower_is_preempted(true, 50, State::Backup, 3500)]
+#[case::lower_is_left(false, 50, State::Backup, 4500)]
+#[case::higher(true, 200, State::Backup, 4500)]
+fn a_backup_hears(#[case] preempt: bool, #[case] priority: u8, #[case] state: State, #[case] due: u64) {
+    let mut router = Virtual::new(setup(128, preempt), address(5));
+    router.start(ms(0));
+    let at = if priority == 0 { ms(0) } else { ms(1000) };
+    assert_eq!(router.hear(at, address(9), &advert(priority)), Ok(None));
+    assert_eq!((router.state(), router.due()), (state, Some(ms(due))));
+}
+
+#[rstest]
+#[case::stops(0, 9, State::Active)]
+#[case::lower(50, 9, State::Active)]
+#[case::higher(200, 1, State::Backup)]
+#[case::equal_with_higher_address(128, 9, State::Backup)]
+#[case::equal_with_lower_address(128, 1, State::Active)]
+fn an_active_router_hears(#[case] priority: u8, #[case] port: u16, #[case] state: State) {
+    let mut router = Virtual::new(setup(128, true), address(5));
+    router.start(ms(0));
+    router.tick(ms(3500));
+    let reply = router.hear(ms(3600), address(port), &advert(priority)).unwrap();
+    assert_eq!((router.state(), reply.is_some()), (state, state == State::Active));
+}
+
+#[test]
+fn the_owner_starts_active() {
+    let mut router = Virtual::new(setup(255, true), address(5));
+    assert_eq!(router.start(ms(0)), Some(advert(255)));
+    assert_eq!(router.state(), State::Active);
+}
+
+#[rstest]
+#[case::version(0, 0x21, "not version 3")]
+#[case::kind(0, 0x32, "no advertisement")]
+#[case::count(3, 2, "wrong number of addresses")]
+#[case::checksum(6, 0xff, "wrong checksum")]
+fn a_bad_advertisement_is_discarded(#[case] at: usize, #[case] byte: u8, #[case] why: &str) {
+    let mut bytes = advert(100);
+    bytes[at] = byte;
+    let mut router = Virtual::new(setup(128, true), address(5));
+    router.start(ms(0));
+    assert_eq!(router.hear(ms(1), address(9), &bytes), Err(why));
+    assert_eq!(router.hear(ms(1), address(9), &bytes[..5]), Err("too short"));
+    let other = Advertisement { vrid: 8, priority: 1, interval: 100, addresses: vec![[10, 0, 0, 1].into()] };
+    assert_eq!(router.hear(ms(1), address(9), &other.encode()), Err("another virtual router"));
+}
+
+/// Two routers, their advertisements carried by the test: only the active one answers look-ups.
+#[test]
+fn of_two_routers_only_the_active_answers_and_the_other_takes_over() {
+    let upstream = server(|_| Does::Answer(0, vec![to_place(1)]));
+    let ends = [resolver(), resolver()];
+    let start = |priority: u8, end: &UdpSocket| {
+        let mut config = with_enum(&[], &[upstream], &json!({}));
+        config["vrrp"] = json!({"listen": "127.0.0.1:0", "peers": [end.local_addr().unwrap().to_string()],
+            "vrid": 7, "priority": priority, "interval_cs": 10, "addresses": ["10.0.0.1"]});
+        let mut router = Router::start(&config);
+        let (look_ups, vrrp) = (router.address("answering look-ups"), router.address("virtual router"));
+        (router, look_ups, vrrp)
+    };
+    let (mut first, first_look_ups, first_vrrp) = start(200, &ends[0]);
+    let (mut second, second_look_ups, second_vrrp) = start(100, &ends[1]);
+    let ways = [(0, second_vrrp), (1, first_vrrp)];
+    for (from, to) in ways {
+        let (from, to_end) = (ends[from].try_clone().unwrap(), ends[1 - from].try_clone().unwrap());
+        thread::spawn(move || {
+            let mut buffer = [0; 100];
+            while let Ok(length) = from.recv(&mut buffer) {
+                let _ = to_end.send_to(&buffer[..length], to);
+            }
+        });
+    }
+    first.logged("state: Active");
+    assert_eq!(ask(&resolver(), first_look_ups, 1, NUMBER).records.len(), 1);
+    let socket = resolver();
+    socket.send_to(&dns::query(2, &name(NUMBER)), second_look_ups).unwrap();
+    socket.set_read_timeout(Some(ms(300))).unwrap();
+    assert!(socket.recv(&mut [0; 100]).is_err(), "a backup answered");
+    first.signal("-TERM");
+    second.logged("state: Active");
+    assert_eq!(ask(&resolver(), second_look_ups, 3, NUMBER).records.len(), 1);
+    assert!(first.child.wait().unwrap().success());
+}
