Release what stood at an exchange that has been out of reach for 7.4 s

Also 19 calls were released while they stood. From 7.6 s on every connect to one exchange timed out, its old connection said nothing, and it came back at 14.6 s: what ended in the first second of that silence was due by 13.2 to 14.0 s and nothing could tell of it. Ruled out: a lost BYE (callers connected throughout) and a late release after the exchange's own (none came before 14.6 s). The 19 releases coincide with the news of its new start at 16.4 s, two seconds after calls were set up on the new process. At fault: no time limit in Link for an exchange out of reach; Exchanges::apply, which took a new start for the end of calls that were already new. Now silence with standing calls is checked by a second connection, and 7.4 s after the last word what stood is released; a new start cuts nothing, as the exchange itself releases what is over on the next connection. Conclusion: the limit of 8 s binds only the calls behind a silent machine.

--- a/src/memory/core.rs
+++ b/src/memory/core.rs
@@ -186,15 +186,22 @@
     /// News of the list.
     pub fn directory(&mut self, now: Duration, kind: ListKind, entries: Vec<Entry>) {
         self.at(now);
-        let over = self.exchanges.apply(kind, &entries);
+        let gone = self.exchanges.apply(kind, &entries);
         self.events.push_back(Event::Directory { kind, entries: Arc::new(entries) });
         self.run();
-        // Guards against calls left standing for good: a process that is gone can't release its own.
-        for exchange in over {
+        // Guards against calls left standing for good: a process that is gone can't release its own. One
+        // that has started anew does, on the next connection; what stands there may be new already.
+        for exchange in gone {
             self.cut(now, &exchange);
         }
     }
 
+    /// Whether a call stands at an exchange.
+    pub fn stands_at(&self, exchange: &ExchangeId) -> bool {
+        let at = |c: &Call| c.stands && c.out.as_ref().is_some_and(|a| a.exchange == *exchange);
+        self.calls.open.values().any(at)
+    }
+
     /// Every call that stands at an exchange is over without its word: its process has ended.
     pub fn cut(&mut self, now: Duration, exchange: &ExchangeId) {
         let at = |c: &Call| c.stands && c.out.as_ref().is_some_and(|a| a.exchange == *exchange);
--- a/src/memory/exchanges.rs
+++ b/src/memory/exchanges.rs
@@ -11,27 +11,26 @@
 }
 
 impl Exchanges {
-    /// Applies news; returns the exchanges whose process is over: gone, or started anew.
+    /// Applies news; returns the exchanges that are gone with it.
     pub fn apply(&mut self, kind: ListKind, entries: &[Entry]) -> Vec<ExchangeId> {
-        let mut over = Vec::new();
+        let mut gone = Vec::new();
         if matches!(kind, ListKind::Full | ListKind::Stored) {
             for (id, line) in &mut self.lines {
                 let listed = entries.iter().any(|e| e.exchange == *id);
                 if !listed && line.health != Health::Gone {
                     line.health = Health::Gone;
-                    over.push(id.clone());
+                    gone.push(id.clone());
                 }
             }
         }
         for entry in entries {
             let before = self.lines.insert(entry.exchange.clone(), entry.clone());
             let Some(before) = before else { continue };
-            let left = entry.health == Health::Gone && before.health != Health::Gone;
-            if left || entry.up_since != before.up_since {
-                over.push(entry.exchange.clone());
+            if entry.health == Health::Gone && before.health != Health::Gone {
+                gone.push(entry.exchange.clone());
             }
         }
-        over
+        gone
     }
 
     /// All lines.
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -14,6 +14,13 @@
 /// A connection on which a set-up waits and nothing at all was heard for this long is doubted: a second
 /// one is opened beside it.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// Where calls stand and nothing was heard for this long, a second connection is opened too.
+const IDLE: Duration = Duration::from_secs(3);
+/// The release of a call is due 8 s after its end even if its exchange could not send it.
+///
+/// Guards against calls that end while their exchange is out of reach: of those that stood when it was
+/// last heard, any may be over since. Harm: those that still stand are cut.
+const OUT_OF_REACH: Duration = Duration::from_millis(7400);
 /// Releases that wait for a connection, at most.
 const WAITING: usize = 4096;
 
@@ -57,6 +64,9 @@
     /// A connection ended since the last one came up: its process may have died.
     dropped: bool,
     tried: bool,
+    /// Last word on any connection, and whether a connect was silent since.
+    heard: Duration,
+    silent: bool,
 }
 
 impl Link {
@@ -72,6 +82,8 @@
             pause: PAUSE.0,
             dropped: false,
             tried: false,
+            heard: Duration::ZERO,
+            silent: false,
         }
     }
 
@@ -131,6 +143,7 @@
 
     /// Something was heard on a connection; of a set-up, if a call is named.
     pub fn heard(&mut self, now: Duration, id: ConnId, call: Option<&CallId>) {
+        (self.heard, self.silent) = (now, false);
         let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) else { return };
         conn.heard = now;
         if let Some(call) = call {
@@ -157,6 +170,7 @@
     /// A connect succeeded: what was queued goes out on it.
     pub fn connected(&mut self, now: Duration, id: ConnId, outbox: Shared) {
         (self.connecting, self.dropped, self.tried, self.pause) = (false, false, true, PAUSE.0);
+        (self.heard, self.silent) = (now, false);
         let mut set_ups = BTreeSet::new();
         for (call, bytes) in self.queue.drain(..) {
             outbox.push(&bytes);
@@ -169,6 +183,7 @@
     /// A connect failed; the set-ups named never ran. True: its process has ended.
     pub fn failed(&mut self, now: Duration, failure: Failure) -> (Vec<CallId>, bool) {
         (self.connecting, self.tried) = (false, true);
+        self.silent |= failure == Failure::Silent;
         self.next_try = now + self.pause;
         self.pause = (self.pause * 2).min(PAUSE.1);
         let set_ups = self.queue.iter().filter_map(|(call, _)| call.clone()).collect();
@@ -194,11 +209,21 @@
         (self.next_try, self.pause) = (now, PAUSE.0);
     }
 
-    /// Whether a connect should be made now, and when to ask again if not.
-    pub fn wants_connect(&self, now: Duration) -> bool {
+    /// Nothing has been heard for a while; if calls stand there, it is to be seen why.
+    pub fn is_idle(&self, now: Duration) -> bool {
+        now >= self.heard + IDLE
+    }
+
+    /// It has been out of reach for so long that what stood there must be taken for over.
+    pub fn is_out_of_reach(&self, now: Duration) -> bool {
+        self.silent && now >= self.heard + OUT_OF_REACH
+    }
+
+    /// Whether a connect should be made now; `missed`: calls stand there and nothing is heard of them.
+    pub fn wants_connect(&self, now: Duration, missed: bool) -> bool {
         let silent = |c: &Conn| c.quiet_since.is_some_and(|since| now >= since + SILENCE);
         // Guards against a machine that vanished and came back: its old connections stay open and silent.
-        let useless = self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
+        let useless = missed || self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
         // A call's release comes on the next connection opened, so drains and losses keep a link wanted.
         let wanted = (self.listed || !self.queue.is_empty()) && useless && !self.connecting;
         wanted && self.conns.len() < MOST && now >= self.next_try
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -459,7 +459,16 @@
 
     fn connect(&mut self, exchange: &ExchangeId) {
         let (now, id) = (self.clock.now(), ConnId(self.conn()));
-        let Some(link) = self.links.get_mut(exchange).filter(|l| l.wants_connect(now)) else { return };
+        let Some(link) = self.links.get_mut(exchange) else { return };
+        let missed = link.is_idle(now) && self.core.stands_at(exchange);
+        if missed && link.is_out_of_reach(now) {
+            warn!(self.log, "out of reach, its calls are released"; "exchange" => &*exchange.0);
+            self.core.cut(now, exchange);
+            return self.flush();
+        }
+        if !link.wants_connect(now, missed) {
+            return;
+        }
         link.connecting = true;
         let (address, within) = (link.address, self.connect_timeout);
         let Some(me) = self.me.upgrade() else { return };
--- /dev/null
+++ b/tests/link.rs
@@ -0,0 +1,39 @@
+//! The connections to one exchange, fed by hand.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use quartzspindle::wire::driver::Outbox;
+use quartzspindle::wire::link::{ConnId, Failure, Link};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn up() -> Link {
+    let mut link = Link::new(([127, 0, 0, 1], 1).into());
+    link.connected(ms(1000), ConnId(1), Rc::new(Outbox::default()));
+    link
+}
+
+#[test]
+fn an_exchange_that_neither_speaks_nor_connects_is_out_of_reach_in_time_for_its_releases() {
+    let mut link = up();
+    link.heard(ms(2000), ConnId(1), None);
+    assert!(!link.is_idle(ms(4900)) && link.is_idle(ms(5000)) && link.wants_connect(ms(5000), true));
+    assert!(!link.is_out_of_reach(ms(20_000)), "silence alone may be an idle night");
+    link.failed(ms(5500), Failure::Silent);
+    assert!(!link.is_out_of_reach(ms(9000)) && link.is_out_of_reach(ms(9500)));
+    link.heard(ms(9600), ConnId(1), None);
+    assert!(!link.is_out_of_reach(ms(20_000)));
+}
+
+#[test]
+fn only_a_refusal_after_a_loss_proves_that_a_process_died() {
+    let mut link = up();
+    assert!(!link.failed(ms(1100), Failure::Refused).1);
+    link.closed(ms(1200), ConnId(1));
+    assert!(!link.failed(ms(1300), Failure::Silent).1);
+    assert!(link.failed(ms(1400), Failure::Refused).1);
+    assert!(!link.failed(ms(1500), Failure::Refused).1, "told once");
+}
