--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -13,6 +13,9 @@
 /// No wait is longer than this.
 pub const LIMIT: Duration = Duration::from_secs(20);
 
+/// What a busy machine may add to a measured time.
+pub const SLACK: Duration = Duration::from_millis(300);
+
 pub fn any_port() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
 }
