--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -318,24 +318,32 @@
     let window = bounded(&root.get("window"), 64, 1, 256)?;
     let answer_within = millis(&root.get("answer_within_ms"), 4000)?;
     let guard = millis(&root.get("guard_ms"), 500)?;
+    let query_timeout = millis(&root.get("query_timeout_ms"), 1500)?;
     let attempts = bounded(&root.get("attempts"), 4, 1, 16)?;
     Ok(Some(Enum {
         listen: root.get("listen").address_if()?,
         zone: name,
-        query_timeout: millis(&root.get("query_timeout_ms"), 1500)?,
+        query_timeout,
         answer_within,
         share: part,
         most: bounded(&root.get("most_look_ups"), 512, 8, 65_536)? as usize,
         window: window as usize,
         routes: hosts,
-        settings: pools(upstreams.len(), answer_within, guard, attempts as u32),
+        settings: pools(upstreams.len(), query_timeout, guard, attempts as u32),
         upstreams,
     }))
 }
 
+/// The module takes what stands within a fifth of its aim for a sign of ease.
+const EASY_PARTS: u32 = 5;
+
 /// Settings of a module whose exchanges are DNS servers: pools that every look-up may go to. Look-ups for
 /// calls are worth more than resolvers' queries, so they go first.
-fn pools(upstreams: usize, aim: Duration, guard: Duration, max_attempts: u32) -> Settings {
+///
+/// Any reply that comes before the time-out is as good as another, hence the aim: with the caller's time
+/// for one, a server that is slow and well was held to be pressed, and few look-ups were sent.
+fn pools(upstreams: usize, query_timeout: Duration, guard: Duration, max_attempts: u32) -> Settings {
+    let aim = EASY_PARTS * query_timeout;
     let class = |worth| Class {
         aim,
         deadline: aim,
--- a/src/wire/driver.rs
+++ b/src/wire/driver.rs
@@ -11,10 +11,11 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
-/// Bytes that may wait for a slow peer; beyond it the connection is closed.
+/// Bytes that may wait for a slow peer, a caller and an exchange; beyond it the connection is closed.
 ///
-/// Guards the memory limit: one peer that stops reading must not take the room of all others.
-const BACKLOG: usize = 128 * 1024;
+/// Guards the memory limit: one peer that stops reading must not take the room of all others. Callers are
+/// many, exchanges few.
+pub const BACKLOGS: (usize, usize) = (48 * 1024, 256 * 1024);
 /// Connections waiting to be accepted.
 const ACCEPTS: u32 = 512;
 
@@ -50,18 +51,24 @@
 }
 
 /// What is to be written on a connection, and whether it is to be closed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Outbox {
+    backlog: usize,
     bytes: RefCell<Vec<u8>>,
     closing: Cell<bool>,
     wake: Notify,
 }
 
 impl Outbox {
+    /// An outbox that takes so many bytes.
+    pub fn new(backlog: usize) -> Self {
+        Self { backlog, bytes: RefCell::default(), closing: Cell::new(false), wake: Notify::new() }
+    }
+
     /// Queues bytes; a peer that has let too many wait is cut off.
     pub fn push(&self, bytes: &[u8]) {
         let mut queue = self.bytes.borrow_mut();
-        if queue.len() + bytes.len() > BACKLOG {
+        if queue.len() + bytes.len() > self.backlog {
             self.closing.set(true);
             queue.clear();
         } else if !self.closing.get() {
--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -92,6 +92,11 @@
         self.tried
     }
 
+    /// Nothing is left to do for an exchange that is no longer listed.
+    pub fn is_spent(&self) -> bool {
+        !self.listed && !self.connecting && self.conns.is_empty() && self.queue.is_empty()
+    }
+
     /// Open connections.
     pub fn open(&self) -> usize {
         self.conns.len()
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -35,6 +35,10 @@
 const RELEASES: usize = 8192;
 /// Share of the descriptors for connections of callers; they hold a third at most by themselves.
 const CALLERS_SHARE: f64 = 0.6;
+/// Connections that may be closing beyond that share.
+const CLOSING: usize = 16;
+/// A release that is not heard of for so long has arrived: hearing it is free.
+const UNHEARD: Duration = Duration::from_secs(2);
 /// No word from the coordinator for so long, though a frame follows each second: it is connected anew.
 const COORDINATOR_SILENT: Duration = Duration::from_millis(2500);
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
@@ -45,6 +49,7 @@
 struct Caller {
     outbox: Shared,
     invites: HashSet<CallId>,
+    heard: Duration,
 }
 
 #[derive(Debug)]
@@ -75,8 +80,8 @@
     last_event: u64,
     callers: BTreeMap<u64, Caller>,
     invites: HashMap<CallId, Invite>,
-    /// Releases sent and not yet heard: by which connection, and the cause.
-    releases: HashMap<CallId, (u64, u32)>,
+    /// Releases sent and not yet heard: by which connection, the cause, and when.
+    releases: HashMap<CallId, (u64, u32, Duration)>,
     waiting: VecDeque<Release>,
     links: BTreeMap<ExchangeId, Link>,
     next_conn: u64,
@@ -198,6 +203,7 @@
             info!(self.log, "listed"; "exchange" => &*id.0, "place" => entry.place.0,
                 "health" => ?entry.health, "up_since" => ?entry.up_since);
         }
+        self.links.retain(|_, l| !l.is_spent());
         let entries = lines.iter().map(|l| l.entry.clone()).collect();
         self.core.directory(now, kind, entries);
         self.flush();
@@ -228,6 +234,9 @@
 
     fn caller_message(&mut self, caller: u64, message: Message) {
         let now = self.clock.now();
+        if let Some(caller) = self.callers.get_mut(&caller) {
+            caller.heard = now;
+        }
         let Some(id) = message.call_id().map(|id| CallId(id.into())) else {
             return self.say(caller, &sip::response(400, &message.echoed(), None, b""));
         };
@@ -369,12 +378,18 @@
     }
 
     fn caller_opened(&mut self, outbox: Shared) -> Option<u64> {
+        let now = self.clock.now();
         if self.callers.len() >= self.most_callers {
-            return None;
+            // Guards against connections that are opened and left: the one that has been idle for longest
+            // makes room, and those that are still closing are not counted on.
+            let idle = self.callers.values().filter(|c| c.invites.is_empty() && c.outbox.is_open());
+            idle.min_by_key(|c| c.heard)?.outbox.close();
+            if self.callers.len() >= self.most_callers + CLOSING {
+                return None;
+            }
         }
         let id = self.conn();
-        self.callers.insert(id, Caller { outbox, invites: HashSet::new() });
-        let now = self.clock.now();
+        self.callers.insert(id, Caller { outbox, invites: HashSet::new(), heard: now });
         for release in std::mem::take(&mut self.waiting) {
             if release.until > now {
                 self.release(Some(id), release.call, release.cause);
@@ -406,7 +421,7 @@
         match open {
             Some((id, caller)) => {
                 caller.outbox.push(&sip::bye(&call.0, cause));
-                self.releases.insert(call, (*id, cause));
+                self.releases.insert(call, (*id, cause, self.clock.now()));
             }
             None => {
                 if self.waiting.len() >= RELEASES {
@@ -476,7 +491,7 @@
         tokio::task::spawn_local(async move {
             match driver::connect(address, within).await {
                 Ok(stream) => {
-                    let outbox: Shared = Rc::default();
+                    let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.1));
                     me.borrow_mut().exchange_up(&exchange, id, outbox.clone());
                     let mut decoder = jsonl::Decoder::default();
                     let ended = driver::pump(stream, &outbox, |bytes| {
@@ -639,6 +654,7 @@
         }
         if now >= look {
             look = now + LOOK;
+            platform.releases.retain(|_, (_, _, sent)| now < *sent + UNHEARD);
             let exchanges: Vec<ExchangeId> = platform.links.keys().cloned().collect();
             exchanges.iter().for_each(|e| platform.connect(e));
         }
@@ -659,7 +675,7 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let outbox: Shared = Rc::new(Outbox::default());
+        let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.0));
         let Some(caller) = platform.borrow_mut().caller_opened(outbox.clone()) else {
             warn!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
             continue;
@@ -696,7 +712,7 @@
     let (log, within) = (platform.borrow().log.clone(), platform.borrow().connect_timeout);
     loop {
         if let Ok(stream) = driver::connect(coordinator, within).await {
-            let outbox = Outbox::default();
+            let outbox = Outbox::new(driver::BACKLOGS.0);
             let last = platform.borrow().last_event;
             outbox.push(&coordinator::hello(last));
             let mut decoder = coordinator::Decoder::default();
--- a/src/wire/sip.rs
+++ b/src/wire/sip.rs
@@ -66,6 +66,8 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     bytes: Vec<u8>,
+    /// The head's end is not before this.
+    searched: usize,
 }
 
 impl Decoder {
@@ -82,8 +84,11 @@
         // Line breaks between messages are keep-alives (RFC 5626, 4.4.1).
         let blank = self.bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
         self.bytes.drain(..blank);
+        self.searched = self.searched.saturating_sub(blank);
         let too_large = Malformed { status: 513, why: "message too large" };
-        let Some(head) = self.bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
+        let found = self.bytes[self.searched..].windows(4).position(|w| w == b"\r\n\r\n");
+        let Some(head) = found.map(|at| at + self.searched) else {
+            self.searched = self.bytes.len().saturating_sub(3);
             return if self.bytes.len() > LARGEST { Err(too_large) } else { Ok(None) };
         };
         let bad = |why| Malformed { status: 400, why };
@@ -107,10 +112,12 @@
             return Err(too_large);
         }
         if self.bytes.len() < head + 4 + length {
+            self.searched = head;
             return Ok(None);
         }
         message.body = self.bytes[head + 4..head + 4 + length].to_vec();
         self.bytes.drain(..head + 4 + length);
+        self.searched = 0;
         Ok(Some(message))
     }
 }
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -12,7 +12,7 @@
 
 fn up() -> Link {
     let mut link = Link::new(([127, 0, 0, 1], 1).into());
-    link.connected(ms(1000), ConnId(1), Rc::new(Outbox::default()));
+    link.connected(ms(1000), ConnId(1), Rc::new(Outbox::new(1000)));
     link
 }
 
