--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -167,6 +167,22 @@
     assert!(caller.hear().first.contains(" 200 "));
 }
 
+/// Guards against one peer that stops reading: it loses its connection, the others lose nothing.
+#[test]
+fn a_caller_that_reads_nothing_holds_up_nobody() {
+    let (_exchange, _router, mut caller) = one();
+    let mut deaf = std::net::TcpStream::connect(_router.listen).unwrap();
+    deaf.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+    let test = format!(
+        "OPTIONS sip:ping@net SIP/2.0\r\nVia: {}\r\nCall-ID: 0\r\nContent-Length: 0\r\n\r\n",
+        "v".repeat(8000)
+    );
+    // Some 80 MB at most; the router stops long before, when its backlog for this caller is full.
+    let cut_off = (0..10_000).any(|_| deaf.write_all(test.as_bytes()).is_err());
+    assert!(cut_off, "the router kept on reading");
+    caller.ready();
+}
+
 #[test]
 fn a_drain_told_by_the_coordinator_stops_set_ups() {
     let (exchange, coordinator) = (Exchange::start(), TcpListener::bind(any_port()).unwrap());
