--- a/src/wire/driver.rs
+++ b/src/wire/driver.rs
@@ -157,3 +157,35 @@
 
 /// A shared outbox.
 pub type Shared = Rc<Outbox>;
+
+/// A front that has things to do at certain times.
+pub trait Timed {
+    /// When [`Timed::wake`] is due.
+    fn next_due(&self) -> Option<Duration>;
+    /// Does what is due.
+    fn wake(&mut self, now: Duration);
+    /// Looks after what has no time of its own.
+    fn look(&mut self, now: Duration);
+}
+
+/// Does what is due, when it is due, and looks after the rest at an interval; `changed` tells of earlier
+/// due times.
+pub async fn keep_time<T: Timed>(front: Rc<RefCell<T>>, clock: Clock, changed: Rc<Notify>, every: Duration) {
+    let mut look = clock.now();
+    loop {
+        let next = front.borrow().next_due().map_or(look, |at| at.min(look));
+        tokio::select! {
+            () = tokio::time::sleep_until(clock.instant(next)) => {}
+            () = changed.notified() => {}
+        }
+        let mut front = front.borrow_mut();
+        let now = clock.now();
+        if front.next_due().is_some_and(|at| at <= now) {
+            front.wake(now);
+        }
+        if now >= look {
+            look = now + every;
+            front.look(now);
+        }
+    }
+}
--- a/src/wire/enumeration.rs
+++ b/src/wire/enumeration.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use super::dns::{self, Lead, Message, Name, Naptr};
-use super::driver::Clock;
+use super::driver::{self, Clock, Timed};
 use crate::interface::*;
 use crate::lifecycle::config::Enum;
 use crate::memory::calls::Origin;
@@ -413,26 +413,24 @@
     }
 }
 
-/// Does what is due, when it is due.
+impl Timed for Front {
+    fn next_due(&self) -> Option<Duration> {
+        self.core.next_due()
+    }
+
+    fn wake(&mut self, now: Duration) {
+        self.core.wake(now);
+        self.flush();
+    }
+
+    fn look(&mut self, _now: Duration) {
+        self.tell_room();
+        self.flush();
+    }
+}
+
+/// Does what is due, when it is due, and tells the core how much room there is.
 pub async fn keep_time(front: Handle) {
     let (clock, due) = (front.borrow().clock, front.borrow().due.clone());
-    let mut look = clock.now();
-    loop {
-        let next = front.borrow().core.next_due().map_or(look, |at| at.min(look));
-        tokio::select! {
-            () = tokio::time::sleep_until(clock.instant(next)) => {}
-            () = due.notified() => {}
-        }
-        let mut front = front.borrow_mut();
-        let now = clock.now();
-        if front.core.next_due().is_some_and(|at| at <= now) {
-            front.core.wake(now);
-            front.flush();
-        }
-        if now >= look {
-            look = now + LOOK;
-            front.tell_room();
-            front.flush();
-        }
-    }
+    driver::keep_time(front, clock, due, LOOK).await;
 }
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 
-use super::driver::{self, Clock, Outbox, Shared};
+use super::driver::{self, Clock, Outbox, Shared, Timed};
 use super::enumeration::{self, Resolved};
 use super::link::{ConnId, Failure, Link};
 use super::sip::{Message, Start};
@@ -636,29 +636,27 @@
 
 // ---- tasks -------------------------------------------------------------------------------------
 
+impl Timed for Platform {
+    fn next_due(&self) -> Option<Duration> {
+        self.core.next_due()
+    }
+
+    fn wake(&mut self, now: Duration) {
+        self.core.wake(now);
+        self.flush();
+    }
+
+    fn look(&mut self, now: Duration) {
+        self.releases.retain(|_, (_, _, sent)| now < *sent + UNHEARD);
+        let exchanges: Vec<ExchangeId> = self.links.keys().cloned().collect();
+        exchanges.iter().for_each(|e| self.connect(e));
+    }
+}
+
 /// Does what is due, when it is due, and looks after the links.
 pub async fn keep_time(platform: Handle) {
     let (clock, due) = (platform.borrow().clock, platform.borrow().due.clone());
-    let mut look = clock.now();
-    loop {
-        let next = platform.borrow().core.next_due().map_or(look, |at| at.min(look));
-        tokio::select! {
-            () = tokio::time::sleep_until(clock.instant(next)) => {}
-            () = due.notified() => {}
-        }
-        let mut platform = platform.borrow_mut();
-        let now = clock.now();
-        if platform.core.next_due().is_some_and(|at| at <= now) {
-            platform.core.wake(now);
-            platform.flush();
-        }
-        if now >= look {
-            look = now + LOOK;
-            platform.releases.retain(|_, (_, _, sent)| now < *sent + UNHEARD);
-            let exchanges: Vec<ExchangeId> = platform.links.keys().cloned().collect();
-            exchanges.iter().for_each(|e| platform.connect(e));
-        }
-    }
+    driver::keep_time(platform, clock, due, LOOK).await;
 }
 
 /// Takes connections of callers.
--- a/tests/protocols.rs
+++ b/tests/protocols.rs
@@ -18,8 +18,8 @@
 }
 
 /// Everything that a decoder says of a stream that comes in pieces of a size.
-fn pieces<T>(bytes: &[u8], size: usize, mut feed: impl FnMut(&[u8]) -> Vec<T>) -> Vec<T> {
-    bytes.chunks(size).flat_map(|piece| feed(piece)).collect()
+fn pieces<T>(bytes: &[u8], size: usize, feed: impl FnMut(&[u8]) -> Vec<T>) -> Vec<T> {
+    bytes.chunks(size).flat_map(feed).collect()
 }
 
 fn all<T, E: std::fmt::Debug>(mut take: impl FnMut() -> Result<Option<T>, E>) -> Vec<T> {
