--- a/src/wire/enumeration.rs
+++ b/src/wire/enumeration.rs
@@ -15,6 +15,7 @@
 use slog::{debug, info, warn, Logger};
 use tokio::net::UdpSocket;
 use tokio::sync::{oneshot, Notify};
+use tokio::task::AbortHandle;
 
 use super::dns::{self, Lead, Message, Name, Naptr};
 use super::driver::{self, Clock, Timed};
@@ -68,7 +69,8 @@
 #[derive(Debug)]
 struct Upstream {
     address: SocketAddr,
-    out: HashMap<CallId, Rc<Cell<bool>>>,
+    /// Queries out, and their tasks.
+    out: HashMap<CallId, AbortHandle>,
 }
 
 /// The front and all that it holds.
@@ -271,8 +273,8 @@
     }
 
     fn forget(&mut self, exchange: &ExchangeId, call: &CallId) {
-        if let Some(given_up) = self.upstreams.get_mut(exchange).and_then(|u| u.out.remove(call)) {
-            given_up.set(true);
+        if let Some(task) = self.upstreams.get_mut(exchange).and_then(|u| u.out.remove(call)) {
+            task.abort(); // its socket goes with it
         }
     }
 
@@ -280,16 +282,13 @@
     fn query(&mut self, exchange: &ExchangeId, call: &CallId, left: Duration) {
         let (Some(me), Some(name)) = (self.me.upgrade(), self.names.get(call).cloned()) else { return };
         let Some(upstream) = self.upstreams.get_mut(exchange) else { return };
-        let (address, given_up) = (upstream.address, Rc::new(Cell::new(false)));
-        upstream.out.insert(call.clone(), given_up.clone());
-        let within = left.min(self.setup.query_timeout);
-        let (exchange, call) = (exchange.clone(), call.clone());
-        tokio::task::spawn_local(async move {
+        let (address, within) = (upstream.address, left.min(self.setup.query_timeout));
+        let (exchange, id) = (exchange.clone(), call.clone());
+        let task = tokio::task::spawn_local(async move {
             let asked = tokio::time::timeout(within, ask(address, &name)).await;
-            if !given_up.get() {
-                me.borrow_mut().replied(&exchange, &call, asked.unwrap_or(Err(Failed::Silent)));
-            }
+            me.borrow_mut().replied(&exchange, &id, asked.unwrap_or(Err(Failed::Silent)));
         });
+        upstream.out.insert(call.clone(), task.abort_handle());
     }
 
     fn replied(&mut self, exchange: &ExchangeId, call: &CallId, reply: Result<Message, Failed>) {
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -252,7 +252,8 @@
             "INVITE" => self.invite(now, caller, id, user.as_str().into(), &message, echoed),
             "ACK" => {}
             "CANCEL" => {
-                self.say(caller, &sip::response(200, &echoed, None, b""));
+                let status = if self.invites.contains_key(&id) { 200 } else { 481 };
+                self.say(caller, &sip::response(status, &echoed, None, b""));
                 self.withdraw(now, &id, true);
             }
             "BYE" => {
