--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -167,6 +167,38 @@
     assert!(caller.hear().first.contains(" 200 "));
 }
 
+/// Guards against calls that end behind a machine that has vanished: nobody else can tell their callers.
+#[test]
+fn a_call_that_stands_behind_a_silent_machine_is_released_within_eight_seconds() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+    let listener = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind(any_port()).unwrap();
+        socket.listen(1).unwrap().into_std().unwrap()
+    });
+    listener.set_nonblocking(false).unwrap();
+    let address = listener.local_addr().unwrap();
+    let router = Router::start(&config(&[address]));
+    let (stream, _) = listener.accept().unwrap();
+    say(&stream, &json!({"verb": "LOAD", "tag": "", "opts": {"load": "spare:9;total:9;lat_ms:-1"}}));
+    let mut caller = router.caller();
+    caller.ready();
+    caller.invite("00000000000000b8", 1, 2000);
+    let mut line = String::new();
+    BufReader::new(&stream).read_line(&mut line).unwrap();
+    started(&stream, "00000000000000b8");
+    let silent = Instant::now();
+    assert!(caller.hear().first.contains(" 200 "));
+    // Nobody accepts any more: once the queue is full, new connections never come up.
+    let connect = || std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200));
+    let queue: Vec<_> = std::iter::from_fn(|| connect().ok()).take(64).collect();
+    assert!(queue.len() < 64, "the queue never filled");
+    let bye = caller.hear();
+    assert!(bye.first.starts_with("BYE ") && bye.has("Reason: Q.850;cause=41"), "{bye:?}");
+    let after = silent.elapsed();
+    assert!(after > Duration::from_secs(7) && after < Duration::from_secs(8) + SLACK, "{after:?}");
+}
+
 /// Guards against one peer that stops reading: it loses its connection, the others lose nothing.
 #[test]
 fn a_caller_that_reads_nothing_holds_up_nobody() {
