--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -294,8 +294,13 @@
             warn!(self.log, "set-up not understood"; "call" => &*id.0, "dest" => list);
             return self.say(caller, &sip::response(400, &echoed, None, b""));
         };
-        if self.invites.contains_key(&id) {
-            return;
+        if self.invites.contains_key(&id)
+            || self.core.calls.open.contains_key(&id)
+            || self.core.calls.is_over(&id)
+        {
+            // Guards against a second answer, and against one that is waited for in vain at the stop: an id
+            // is never reused, so this is the same set-up again.
+            return warn!(self.log, "set-up came twice"; "call" => &*id.0);
         }
         let offer = Offer {
             call: id.clone(),
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -167,6 +167,22 @@
     assert!(caller.hear().first.contains(" 200 "));
 }
 
+#[test]
+fn a_set_up_that_comes_twice_is_answered_once_and_does_not_hold_up_the_stop() {
+    let (exchange, mut router, mut caller) = one();
+    caller.invite("00000000000000b9", 1, 1500);
+    let (_, stream, _) = exchange.hear("START");
+    caller.invite("00000000000000b9", 1, 1500);
+    started(&stream, "00000000000000b9");
+    assert!(caller.hear().first.contains(" 200 "));
+    caller.invite("00000000000000b9", 1, 1500);
+    assert!(caller.within(Duration::from_millis(300)).is_none(), "a second answer");
+    let begun = Instant::now();
+    router.signal("-TERM");
+    assert!(router.child.wait().unwrap().success());
+    assert!(begun.elapsed() < Duration::from_millis(2500), "{:?}", begun.elapsed());
+}
+
 /// Guards against calls that end behind a machine that has vanished: nobody else can tell their callers.
 #[test]
 fn a_call_that_stands_behind_a_silent_machine_is_released_within_eight_seconds() {
--- a/tests/enumeration.rs
+++ b/tests/enumeration.rs
@@ -373,8 +373,10 @@
 }
 
 /// Two routers, their advertisements carried by the test: only the active one answers look-ups.
-#[test]
-fn of_two_routers_only_the_active_answers_and_the_other_takes_over() {
+#[rstest]
+#[case::stopped("-TERM")]
+#[case::killed("-KILL")]
+fn of_two_routers_only_the_active_answers_and_the_other_takes_over(#[case] signal: &str) {
     let upstream = server(|_| Does::Answer(0, vec![to_place(1)]));
     let ends = [resolver(), resolver()];
     let start = |priority: u8, end: &UdpSocket| {
@@ -403,8 +405,8 @@
     socket.send_to(&dns::query(2, &name(NUMBER)), second_look_ups).unwrap();
     socket.set_read_timeout(Some(ms(300))).unwrap();
     assert!(socket.recv(&mut [0; 100]).is_err(), "a backup answered");
-    first.signal("-TERM");
+    first.signal(signal);
     second.logged("state: Active");
     assert_eq!(ask(&resolver(), second_look_ups, 3, NUMBER).records.len(), 1);
-    assert!(first.child.wait().unwrap().success());
+    assert_eq!(first.child.wait().unwrap().success(), signal == "-TERM");
 }
