--- a/tests/enumeration.rs
+++ b/tests/enumeration.rs
@@ -171,14 +171,15 @@
 }
 
 /// A fifth of the queries is lost and the rest is late by seconds: each call still gets its one answer.
-#[test]
-fn with_a_slow_and_lossy_server_every_call_gets_exactly_one_answer_in_time() {
+#[rstest]
+fn with_slow_and_lossy_servers_every_call_gets_exactly_one_answer_in_time(#[values(1, 3)] servers: usize) {
     const CALLS: u32 = 40;
     let late = |n| Does::Later(Duration::from_millis(1000 + 400 * (n as u64 % 4)), vec![to_place(1)]);
-    let upstream = server(move |n| if n % 5 == 4 { Does::Drop } else { late(n) });
+    let lossy = || server(move |n| if n % 5 == 4 { Does::Drop } else { late(n) });
+    let upstreams: Vec<SocketAddr> = (0..servers).map(|_| lossy()).collect();
     let exchange = Exchange::start();
     let slow = json!({"query_timeout_ms": 2500, "share": 0.6, "answer_within_ms": 6000});
-    let router = Router::start(&with_enum(&[exchange.address], &[upstream], &slow));
+    let router = Router::start(&with_enum(&[exchange.address], &upstreams, &slow));
     let mut caller = router.caller();
     caller.ready();
     let address = exchange.address;
@@ -206,7 +207,7 @@
     }
     assert!(caller.within(Duration::from_millis(500)).is_none(), "one answer too many");
     assert!(stood > 0, "no call stood");
-    println!("{stood} of {CALLS} stood");
+    println!("{stood} of {CALLS} stood with {servers} servers");
 }
 
 /// A flood of look-ups does not hold up set-ups, nor the look-ups that calls need.
