--- a/src/lifecycle/run.rs
+++ b/src/lifecycle/run.rs
@@ -14,7 +14,8 @@
 use super::console::{self, View};
 use crate::wire::driver::{self, Clock};
 use crate::wire::enumeration::{self, Front};
-use crate::wire::platform::{self, Platform};
+use crate::wire::platform::Platform;
+use crate::wire::sockets;
 use crate::wire::standby::{self, Standby};
 use crate::wire::vrrp::Router;
 
@@ -47,13 +48,13 @@
     let clock = Clock::new();
     let listener = driver::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let platform = Platform::new(&config, log.clone(), clock)?;
-    tokio::task::spawn_local(platform::keep_time(platform.clone()));
+    tokio::task::spawn_local(sockets::keep_time(platform.clone()));
     if let Some(coordinator) = config.coordinator {
-        tokio::task::spawn_local(platform::follow(platform.clone(), coordinator));
+        tokio::task::spawn_local(sockets::follow(platform.clone(), coordinator));
     }
     if let Some(at) = config.peer_listen.filter(|_| config.settings.limits.peers) {
         let socket = bind("peer_listen", at).await?;
-        tokio::task::spawn_local(platform::hear_peers(platform.clone(), Rc::new(socket), config.peers));
+        tokio::task::spawn_local(sockets::hear_peers(platform.clone(), Rc::new(socket), config.peers));
     }
     let active = Rc::new(Cell::new(true));
     let mut front = None;
@@ -78,7 +79,7 @@
         standby = Some(made);
     }
     info!(log, "started"; "name" => &config.name, "listen" => %listener.local_addr()?);
-    tokio::task::spawn_local(platform::accept(platform.clone(), listener));
+    tokio::task::spawn_local(sockets::accept(platform.clone(), listener));
     let view = View { name: config.name, platform, front, standby };
     let (platform, front, standby) = (view.platform.clone(), view.front.clone(), view.standby.clone());
     let quit = async {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,5 +9,6 @@
 pub mod link;
 pub mod platform;
 pub mod sip;
+pub mod sockets;
 pub mod standby;
 pub mod vrrp;
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -6,20 +6,19 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
-use std::ops::ControlFlow;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{debug, info, warn, Logger};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use super::driver::{self, Clock, Outbox, Shared, Timed};
+use super::driver::{Clock, Shared, Timed};
 use super::enumeration::{self, Resolved};
 use super::link::{ConnId, Failure, Link};
 use super::sip::{Message, Start};
-use super::{coordinator, jsonl, sip};
+use super::{coordinator, jsonl, sip, sockets};
 use crate::interface::*;
 use crate::lifecycle::config::{Config, Listed, Update};
 use crate::memory::calls::Origin;
@@ -28,8 +27,6 @@
 
 /// Taken off what the caller waits, so that the answer is with it in time.
 const ON_THE_WAY: Duration = Duration::from_millis(20);
-/// How often links are looked after.
-const LOOK: Duration = Duration::from_millis(50);
 /// A release that finds no caller connection waits so long, and so many wait at most.
 const RELEASE_WAIT: Duration = Duration::from_secs(8);
 const RELEASES: usize = 8192;
@@ -39,11 +36,8 @@
 const CLOSING: usize = 16;
 /// A release that is not heard of for so long has arrived: hearing it is free.
 const UNHEARD: Duration = Duration::from_secs(2);
-/// No word from the coordinator for so long, though a frame follows each second: it is connected anew.
-const COORDINATOR_SILENT: Duration = Duration::from_millis(2500);
-const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
 /// Largest datagram between routers.
-const DATAGRAM: usize = 256;
+pub const DATAGRAM: usize = 256;
 
 #[derive(Debug)]
 struct Caller {
@@ -71,13 +65,13 @@
     me: Weak<RefCell<Platform>>,
     /// The core behind it.
     pub core: Core,
-    clock: Clock,
-    log: Logger,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
     class_names: Vec<String>,
     gauge_names: Vec<String>,
-    connect_timeout: Duration,
+    pub(super) connect_timeout: Duration,
     most_callers: usize,
-    last_event: u64,
+    pub(super) last_event: u64,
     callers: BTreeMap<u64, Caller>,
     invites: HashMap<CallId, Invite>,
     /// Releases sent and not yet heard: by which connection, the cause, and when.
@@ -91,7 +85,7 @@
     started: Duration,
     peer_socket: Option<Rc<UdpSocket>>,
     peers_all: Option<SocketAddr>,
-    due: Rc<Notify>,
+    pub(super) due: Rc<Notify>,
 }
 
 /// A front that its tasks share. All run on one thread, and none holds it across an await.
@@ -209,7 +203,7 @@
         self.flush();
     }
 
-    fn coordinator_frame(&mut self, frame: coordinator::Frame) {
+    pub(super) fn coordinator_frame(&mut self, frame: coordinator::Frame) {
         let Some(list) = frame.list.filter(|_| frame.number > self.last_event) else { return };
         self.last_event = frame.number;
         let lines = list.records.into_iter().map(|r| Listed {
@@ -232,7 +226,7 @@
 
     // ---- callers -------------------------------------------------------------------------------
 
-    fn caller_message(&mut self, caller: u64, message: Message) {
+    pub(super) fn caller_message(&mut self, caller: u64, message: Message) {
         let now = self.clock.now();
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.heard = now;
@@ -383,7 +377,7 @@
         }
     }
 
-    fn caller_opened(&mut self, outbox: Shared) -> Option<u64> {
+    pub(super) fn caller_opened(&mut self, outbox: Shared) -> Option<u64> {
         let now = self.clock.now();
         if self.callers.len() >= self.most_callers {
             // Guards against connections that are opened and left: the one that has been idle for longest
@@ -404,7 +398,7 @@
         Some(id)
     }
 
-    fn caller_closed(&mut self, caller: u64) {
+    pub(super) fn caller_closed(&mut self, caller: u64) {
         let now = self.clock.now();
         let Some(gone) = self.callers.remove(&caller) else { return };
         for id in gone.invites {
@@ -440,7 +434,7 @@
 
     // ---- booking exchanges ---------------------------------------------------------------------
 
-    fn exchange_line(&mut self, exchange: &ExchangeId, conn: ConnId, line: &jsonl::Line) {
+    pub(super) fn exchange_line(&mut self, exchange: &ExchangeId, conn: ConnId, line: &jsonl::Line) {
         let now = self.clock.now();
         let id = CallId(line.tag.as_str().into());
         let answers = matches!(line.verb.as_str(), "STARTED" | "FINISH");
@@ -493,36 +487,10 @@
         link.connecting = true;
         let (address, within) = (link.address, self.connect_timeout);
         let Some(me) = self.me.upgrade() else { return };
-        let exchange = exchange.clone();
-        tokio::task::spawn_local(async move {
-            match driver::connect(address, within).await {
-                Ok(stream) => {
-                    let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.1));
-                    me.borrow_mut().exchange_up(&exchange, id, outbox.clone());
-                    let mut decoder = jsonl::Decoder::default();
-                    let ended = driver::pump(stream, &outbox, |bytes| {
-                        decoder.feed(bytes);
-                        loop {
-                            match decoder.take() {
-                                Ok(Some(line)) => me.borrow_mut().exchange_line(&exchange, id, &line),
-                                Ok(None) => return ControlFlow::Continue(()),
-                                Err(why) => {
-                                    warn!(me.borrow().log, "exchange closed"; "why" => why, "exchange" => &*exchange.0);
-                                    return ControlFlow::Break(());
-                                }
-                            }
-                        }
-                    })
-                    .await;
-                    outbox.close();
-                    me.borrow_mut().exchange_down(&exchange, id, &ended);
-                }
-                Err(e) => me.borrow_mut().exchange_failed(&exchange, &e),
-            }
-        });
+        tokio::task::spawn_local(sockets::dial(me, exchange.clone(), id, address, within));
     }
 
-    fn exchange_up(&mut self, exchange: &ExchangeId, id: ConnId, outbox: Shared) {
+    pub(super) fn exchange_up(&mut self, exchange: &ExchangeId, id: ConnId, outbox: Shared) {
         let now = self.clock.now();
         debug!(self.log, "exchange connected"; "exchange" => &*exchange.0, "conn" => id.0);
         if let Some(link) = self.links.get_mut(exchange) {
@@ -530,7 +498,7 @@
         }
     }
 
-    fn exchange_failed(&mut self, exchange: &ExchangeId, error: &io::Error) {
+    pub(super) fn exchange_failed(&mut self, exchange: &ExchangeId, error: &io::Error) {
         let now = self.clock.now();
         let refused = error.kind() == io::ErrorKind::ConnectionRefused;
         debug!(self.log, "no connection"; "exchange" => &*exchange.0, "error" => %error);
@@ -546,7 +514,7 @@
         self.flush();
     }
 
-    fn exchange_down(&mut self, exchange: &ExchangeId, id: ConnId, ended: &io::Result<()>) {
+    pub(super) fn exchange_down(&mut self, exchange: &ExchangeId, id: ConnId, ended: &io::Result<()>) {
         let now = self.clock.now();
         debug!(self.log, "exchange disconnected"; "exchange" => &*exchange.0, "conn" => id.0, "end" => ?ended);
         let Some(link) = self.links.get_mut(exchange) else { return };
@@ -631,6 +599,16 @@
         }
     }
 
+    /// Datagrams to other routers go out by this socket.
+    pub(super) fn set_peer_socket(&mut self, socket: Rc<UdpSocket>) {
+        self.peer_socket = Some(socket);
+    }
+
+    pub(super) fn peer_message(&mut self, from: u32, text: &str) {
+        self.core.peer(self.clock.now(), from, text.to_owned());
+        self.flush();
+    }
+
     fn tell_all(&self, text: &str) {
         if let (Some(socket), Some(all), true) = (&self.peer_socket, self.peers_all, text.len() <= DATAGRAM) {
             if let Err(e) = socket.try_send_to(text.as_bytes(), all) {
@@ -640,8 +618,6 @@
     }
 }
 
-// ---- tasks -------------------------------------------------------------------------------------
-
 impl Timed for Platform {
     fn next_due(&self) -> Option<Duration> {
         self.core.next_due()
@@ -659,113 +635,6 @@
     }
 }
 
-/// Does what is due, when it is due, and looks after the links.
-pub async fn keep_time(platform: Handle) {
-    let (clock, due) = (platform.borrow().clock, platform.borrow().due.clone());
-    driver::keep_time(platform, clock, due, LOOK).await;
-}
-
-/// Takes connections of callers.
-pub async fn accept(platform: Handle, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                warn!(platform.borrow().log, "accept failed"; "error" => %e);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
-        let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.0));
-        let Some(caller) = platform.borrow_mut().caller_opened(outbox.clone()) else {
-            warn!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
-            continue;
-        };
-        let platform = platform.clone();
-        tokio::task::spawn_local(async move {
-            let mut decoder = sip::Decoder::default();
-            let ended = driver::pump(stream, &outbox, |bytes| {
-                decoder.feed(bytes);
-                loop {
-                    match decoder.take() {
-                        Ok(Some(message)) => platform.borrow_mut().caller_message(caller, message),
-                        Ok(None) => return ControlFlow::Continue(()),
-                        Err(e) => {
-                            warn!(platform.borrow().log, "caller closed"; "why" => e.why);
-                            outbox.push(&sip::response(e.status, "", None, b""));
-                            return ControlFlow::Break(());
-                        }
-                    }
-                }
-            })
-            .await;
-            outbox.close();
-            if let Err(e) = ended {
-                debug!(platform.borrow().log, "caller connection broke"; "error" => %e);
-            }
-            platform.borrow_mut().caller_closed(caller);
-        });
-    }
-}
-
-/// Follows the coordinator, connecting anew whenever it falls silent.
-pub async fn follow(platform: Handle, coordinator: SocketAddr) {
-    let (log, within) = (platform.borrow().log.clone(), platform.borrow().connect_timeout);
-    loop {
-        if let Ok(stream) = driver::connect(coordinator, within).await {
-            let outbox = Outbox::new(driver::BACKLOGS.0);
-            let last = platform.borrow().last_event;
-            outbox.push(&coordinator::hello(last));
-            let mut decoder = coordinator::Decoder::default();
-            let heard = std::cell::Cell::new(tokio::time::Instant::now());
-            let pump = driver::pump(stream, &outbox, |bytes| {
-                heard.set(tokio::time::Instant::now());
-                decoder.feed(bytes);
-                loop {
-                    match decoder.take() {
-                        Ok(Some(frame)) => platform.borrow_mut().coordinator_frame(frame),
-                        Ok(None) => return ControlFlow::Continue(()),
-                        Err(why) => {
-                            warn!(log, "coordinator not understood"; "why" => why);
-                            return ControlFlow::Break(());
-                        }
-                    }
-                }
-            });
-            let watch = async {
-                while heard.get().elapsed() < COORDINATOR_SILENT {
-                    tokio::time::sleep_until(heard.get() + COORDINATOR_SILENT).await;
-                }
-            };
-            tokio::select! {
-                ended = pump => info!(log, "coordinator disconnected"; "end" => ?ended),
-                () = watch => info!(log, "coordinator silent"),
-            }
-        }
-        tokio::time::sleep(COORDINATOR_PAUSE).await;
-    }
-}
-
-/// Takes datagrams of other routers.
-pub async fn hear_peers(platform: Handle, socket: Rc<UdpSocket>, peers: Vec<SocketAddr>) {
-    platform.borrow_mut().peer_socket = Some(socket.clone());
-    let mut buffer = [0; 2 * DATAGRAM];
-    loop {
-        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-        let sender = peers.iter().position(|p| *p == from).and_then(|n| u32::try_from(n).ok());
-        let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= DATAGRAM);
-        if let (Some(sender), Some(text)) = (sender, text) {
-            let mut platform = platform.borrow_mut();
-            let now = platform.clock.now();
-            platform.core.peer(now, sender, text.to_owned());
-            platform.flush();
-        }
-    }
-}
-
 /// How an attempt, or a call that stood, has ended.
 fn end_of(cause: Option<u32>, stood: bool) -> Status {
     match (cause, stood) {
--- /dev/null
+++ b/src/wire/sockets.rs
@@ -0,0 +1,154 @@
+//! The tasks of the platform's front: each reads and writes on one socket, and knows no more than that.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::{debug, info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+
+use super::driver::{self, Outbox, Shared};
+use super::link::ConnId;
+use super::platform::{Handle, DATAGRAM};
+use super::{coordinator, jsonl, sip};
+use crate::interface::ExchangeId;
+
+/// No word from the coordinator for so long, though a frame follows each second: it is connected anew.
+const COORDINATOR_SILENT: Duration = Duration::from_millis(2500);
+const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
+/// How often links are looked after.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Opens a connection to an exchange, and reads and writes on it until it ends.
+pub async fn dial(me: Handle, exchange: ExchangeId, id: ConnId, address: SocketAddr, within: Duration) {
+    match driver::connect(address, within).await {
+        Ok(stream) => {
+            let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.1));
+            me.borrow_mut().exchange_up(&exchange, id, outbox.clone());
+            let mut decoder = jsonl::Decoder::default();
+            let ended = driver::pump(stream, &outbox, |bytes| {
+                decoder.feed(bytes);
+                loop {
+                    match decoder.take() {
+                        Ok(Some(line)) => me.borrow_mut().exchange_line(&exchange, id, &line),
+                        Ok(None) => return ControlFlow::Continue(()),
+                        Err(why) => {
+                            warn!(me.borrow().log, "exchange closed"; "why" => why, "exchange" => &*exchange.0);
+                            return ControlFlow::Break(());
+                        }
+                    }
+                }
+            })
+            .await;
+            outbox.close();
+            me.borrow_mut().exchange_down(&exchange, id, &ended);
+        }
+        Err(e) => me.borrow_mut().exchange_failed(&exchange, &e),
+    }
+}
+
+/// Does what is due, when it is due, and looks after the links.
+pub async fn keep_time(platform: Handle) {
+    let (clock, due) = (platform.borrow().clock, platform.borrow().due.clone());
+    driver::keep_time(platform, clock, due, LOOK).await;
+}
+
+/// Takes connections of callers.
+pub async fn accept(platform: Handle, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                warn!(platform.borrow().log, "accept failed"; "error" => %e);
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.0));
+        let Some(caller) = platform.borrow_mut().caller_opened(outbox.clone()) else {
+            warn!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
+            continue;
+        };
+        let platform = platform.clone();
+        tokio::task::spawn_local(async move {
+            let mut decoder = sip::Decoder::default();
+            let ended = driver::pump(stream, &outbox, |bytes| {
+                decoder.feed(bytes);
+                loop {
+                    match decoder.take() {
+                        Ok(Some(message)) => platform.borrow_mut().caller_message(caller, message),
+                        Ok(None) => return ControlFlow::Continue(()),
+                        Err(e) => {
+                            warn!(platform.borrow().log, "caller closed"; "why" => e.why);
+                            outbox.push(&sip::response(e.status, "", None, b""));
+                            return ControlFlow::Break(());
+                        }
+                    }
+                }
+            })
+            .await;
+            outbox.close();
+            if let Err(e) = ended {
+                debug!(platform.borrow().log, "caller connection broke"; "error" => %e);
+            }
+            platform.borrow_mut().caller_closed(caller);
+        });
+    }
+}
+
+/// Follows the coordinator, connecting anew whenever it falls silent.
+pub async fn follow(platform: Handle, coordinator: SocketAddr) {
+    let (log, within) = (platform.borrow().log.clone(), platform.borrow().connect_timeout);
+    loop {
+        if let Ok(stream) = driver::connect(coordinator, within).await {
+            let outbox = Outbox::new(driver::BACKLOGS.0);
+            let last = platform.borrow().last_event;
+            outbox.push(&coordinator::hello(last));
+            let mut decoder = coordinator::Decoder::default();
+            let heard = Cell::new(tokio::time::Instant::now());
+            let pump = driver::pump(stream, &outbox, |bytes| {
+                heard.set(tokio::time::Instant::now());
+                decoder.feed(bytes);
+                loop {
+                    match decoder.take() {
+                        Ok(Some(frame)) => platform.borrow_mut().coordinator_frame(frame),
+                        Ok(None) => return ControlFlow::Continue(()),
+                        Err(why) => {
+                            warn!(log, "coordinator not understood"; "why" => why);
+                            return ControlFlow::Break(());
+                        }
+                    }
+                }
+            });
+            let watch = async {
+                while heard.get().elapsed() < COORDINATOR_SILENT {
+                    tokio::time::sleep_until(heard.get() + COORDINATOR_SILENT).await;
+                }
+            };
+            tokio::select! {
+                ended = pump => info!(log, "coordinator disconnected"; "end" => ?ended),
+                () = watch => info!(log, "coordinator silent"),
+            }
+        }
+        tokio::time::sleep(COORDINATOR_PAUSE).await;
+    }
+}
+
+/// Takes datagrams of other routers.
+pub async fn hear_peers(platform: Handle, socket: Rc<UdpSocket>, peers: Vec<SocketAddr>) {
+    platform.borrow_mut().set_peer_socket(socket.clone());
+    let mut buffer = [0; 2 * DATAGRAM];
+    loop {
+        let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+        let sender = peers.iter().position(|p| *p == from).and_then(|n| u32::try_from(n).ok());
+        let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= DATAGRAM);
+        if let (Some(sender), Some(text)) = (sender, text) {
+            platform.borrow_mut().peer_message(sender, text);
+        }
+    }
+}
