--- a/tests/enumeration.rs
+++ b/tests/enumeration.rs
@@ -119,6 +119,17 @@
     assert!(socket.recv(&mut [0; 100]).is_err(), "a second answer");
 }
 
+/// The same rule as for set-ups: nothing goes out within 500 ms of an attempt that timed out.
+#[test]
+fn a_lost_query_is_repeated_only_after_its_time_out_and_the_guard() {
+    let behave = |n| if n == 0 { Does::Drop } else { Does::Answer(0, vec![to_place(1)]) };
+    let mut router = Router::start(&with_enum(&[], &[server(behave)], &json!({})));
+    let to = router.address("answering look-ups");
+    let begun = Instant::now();
+    assert_eq!(ask(&resolver(), to, 10, NUMBER).records.len(), 1);
+    assert!(begun.elapsed() >= Duration::from_millis(700 + 500), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn a_refusing_server_is_passed_over_for_the_next() {
     let upstreams = [server(|_| Does::Answer(5, vec![])), server(|_| Does::Answer(0, vec![to_place(1)]))];
