--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -267,6 +267,25 @@
     }
 }
 
+impl Config {
+    /// Keys that differ in `new` and that a running program can't take up.
+    pub fn needs_restart(&self, new: &Self) -> Vec<&'static str> {
+        let front = |c: &Self| c.enumeration.as_ref().map(|e| (e.listen, format!("{:?}", e.settings)));
+        let group = |c: &Self| c.vrrp.as_ref().map(|v| (v.listen, v.setup.vrid, v.setup.addresses.clone()));
+        let names = |c: &Self| (c.class_names.clone(), c.gauge_names.clone(), format!("{:?}", c.settings));
+        let changed = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("peer_listen", self.peer_listen != new.peer_listen),
+            ("settings", names(self) != names(new)),
+            ("console", self.console != new.console),
+            ("enum.listen/query_timeout_ms/guard_ms/attempts", front(self) != front(new)),
+            ("vrrp.listen/vrid/addresses", group(self) != group(new)),
+        ];
+        changed.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
+
 fn millis(node: &Node<'_>, default: u64) -> Read<Duration> {
     match node.whole(default)? {
         0 => node.wrong("must be more than 0"),
@@ -329,7 +348,7 @@
         most: bounded(&root.get("most_look_ups"), 512, 8, 65_536)? as usize,
         window: window as usize,
         routes: hosts,
-        settings: pools(upstreams.len(), query_timeout, guard, attempts as u32),
+        settings: pools(query_timeout, guard, attempts as u32),
         upstreams,
     }))
 }
@@ -342,7 +361,7 @@
 ///
 /// Any reply that comes before the time-out is as good as another, hence the aim: with the caller's time
 /// for one, a server that is slow and well was held to be pressed, and few look-ups were sent.
-fn pools(upstreams: usize, query_timeout: Duration, guard: Duration, max_attempts: u32) -> Settings {
+fn pools(query_timeout: Duration, guard: Duration, max_attempts: u32) -> Settings {
     let aim = EASY_PARTS * query_timeout;
     let class = |worth| Class {
         aim,
@@ -352,7 +371,7 @@
         effect: Effect::Safe,
         width: 1,
         holding: Duration::ZERO,
-        pools: (0..upstreams as u32).map(Place).collect(),
+        pools: Vec::new(),
     };
     Settings {
         classes: vec![class(1.0), class(10.0)],
--- a/src/lifecycle/console.rs
+++ b/src/lifecycle/console.rs
@@ -21,6 +21,7 @@
 help        this list\n";
 
 /// What the console looks at.
+#[derive(Clone)]
 pub struct View {
     /// Name of the router.
     pub name: String,
--- a/src/lifecycle/run.rs
+++ b/src/lifecycle/run.rs
@@ -2,13 +2,13 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::{info, Logger};
+use slog::{info, warn, Logger};
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use super::config::Config;
 use super::console::{self, View};
@@ -42,19 +42,19 @@
 ///
 /// # Errors
 /// When an address can't be used or the settings make no sense.
-pub async fn serve(config: Config, log: Logger) -> Result<(), Failure> {
+pub async fn serve(path: PathBuf, config: Config, log: Logger) -> Result<(), Failure> {
+    // Guards against a reload that is asked for early: unhandled, SIGHUP ends the program.
+    let hang_up = signal(SignalKind::hangup())?;
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let clock = Clock::new();
     let listener = driver::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let platform = Platform::new(&config, log.clone(), clock)?;
     tokio::task::spawn_local(sockets::keep_time(platform.clone()));
-    if let Some(coordinator) = config.coordinator {
-        tokio::task::spawn_local(sockets::follow(platform.clone(), coordinator));
-    }
+    tokio::task::spawn_local(sockets::follow(platform.clone()));
     if let Some(at) = config.peer_listen.filter(|_| config.settings.limits.peers) {
         let socket = bind("peer_listen", at).await?;
-        tokio::task::spawn_local(sockets::hear_peers(platform.clone(), Rc::new(socket), config.peers));
+        tokio::task::spawn_local(sockets::hear_peers(platform.clone(), Rc::new(socket)));
     }
     let active = Rc::new(Cell::new(true));
     let mut front = None;
@@ -70,7 +70,7 @@
         front = Some(made);
     }
     let mut standby = None;
-    if let Some(setup) = config.vrrp {
+    if let Some(setup) = config.vrrp.clone() {
         let socket = bind("vrrp.listen", setup.listen).await?;
         info!(log, "virtual router"; "listen" => %socket.local_addr()?);
         let router = Router::new(setup.setup, socket.local_addr()?);
@@ -80,10 +80,12 @@
     }
     info!(log, "started"; "name" => &config.name, "listen" => %listener.local_addr()?);
     tokio::task::spawn_local(sockets::accept(platform.clone(), listener));
-    let view = View { name: config.name, platform, front, standby };
+    let view = View { name: config.name.clone(), platform, front, standby };
     let (platform, front, standby) = (view.platform.clone(), view.front.clone(), view.standby.clone());
+    let console = config.console;
+    tokio::task::spawn_local(reloads(hang_up, path, config, view.clone(), log.clone()));
     let quit = async {
-        match config.console {
+        match console {
             true => console::serve(view, console::lines()).await,
             false => std::future::pending().await,
         }
@@ -116,6 +118,36 @@
     Ok(())
 }
 
+/// Reads the configuration anew at each SIGHUP. The file is read and checked on a thread of its own, so that
+/// calls go on meanwhile; a faulty one changes nothing.
+async fn reloads(mut asked: Signal, path: PathBuf, mut held: Config, parts: View, log: Logger) {
+    while asked.recv().await.is_some() {
+        let path = path.clone();
+        let read = tokio::task::spawn_blocking(move || load(&path).map_err(|e| e.to_string())).await;
+        let fresh = match read.map_err(|e| e.to_string()) {
+            Ok(Ok(fresh)) => fresh,
+            Ok(Err(why)) | Err(why) => {
+                warn!(log, "reload refused, the old configuration stays"; "why" => why);
+                continue;
+            }
+        };
+        let later = held.needs_restart(&fresh);
+        if !later.is_empty() {
+            warn!(log, "changed, but taken up at the next start only"; "keys" => later.join(" "));
+        }
+        parts.platform.borrow_mut().reload(&fresh);
+        if let (Some(front), Some(setup)) = (&parts.front, &fresh.enumeration) {
+            front.borrow_mut().reload(setup);
+            parts.platform.borrow_mut().set_look_up(front.clone(), setup.share);
+        }
+        if let (Some(standby), Some(setup)) = (&parts.standby, &fresh.vrrp) {
+            standby.reload(setup);
+        }
+        info!(log, "reloaded"; "coordinator" => ?fresh.coordinator);
+        held = fresh;
+    }
+}
+
 async fn bind(key: &str, at: SocketAddr) -> Result<UdpSocket, Failure> {
     Ok(UdpSocket::bind(at).await.map_err(|e| format!("{key}: {at}: {e}"))?)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -29,5 +29,5 @@
     let (queue, _guard) = slog_async::Async::new(lines).chan_size(1024).build_with_guard();
     let log = Logger::root(queue.fuse(), o!());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    tokio::task::LocalSet::new().block_on(&runtime, run::serve(config, log))
+    tokio::task::LocalSet::new().block_on(&runtime, run::serve(path, config, log))
 }
--- a/src/wire/enumeration.rs
+++ b/src/wire/enumeration.rs
@@ -111,18 +111,7 @@
         active: Rc<Cell<bool>>,
     ) -> Result<Handle, SettingsError> {
         let now = clock.now();
-        let mut core = Core::new(Controller::new(setup.settings.clone(), seed, now)?, now);
-        let id = |address: &SocketAddr| ExchangeId(address.to_string().into());
-        let entries = setup.upstreams.iter().zip(0..).map(|(address, place)| Entry {
-            exchange: id(address),
-            place: Place(place),
-            zone: 0,
-            health: Health::Live,
-            up_since: None,
-        });
-        core.directory(now, ListKind::Stored, entries.collect());
-        let upstream = |a: &SocketAddr| (id(a), Upstream { address: *a, out: HashMap::new() });
-        let upstreams = setup.upstreams.iter().map(upstream).collect();
+        let core = Core::new(Controller::new(setup.settings.clone(), seed, now)?, now);
         Ok(Rc::new_cyclic(|me| {
             let mut front = Self {
                 me: me.clone(),
@@ -136,15 +125,45 @@
                 asked: HashSet::new(),
                 names: HashMap::new(),
                 found: HashMap::new(),
-                upstreams,
+                upstreams: BTreeMap::new(),
                 next: 0,
                 due: Rc::default(),
             };
-            front.tell_room();
+            front.list_upstreams();
             RefCell::new(front)
         }))
     }
 
+    /// Makes the list of upstream servers that of the set-up. Queries that are out to one that is no longer
+    /// listed run on to their end.
+    fn list_upstreams(&mut self) {
+        let id = |address: &SocketAddr| ExchangeId(address.to_string().into());
+        let entries = self.setup.upstreams.iter().zip(0..).map(|(address, place)| Entry {
+            exchange: id(address),
+            place: Place(place),
+            zone: 0,
+            health: Health::Live,
+            up_since: None,
+        });
+        self.core.directory(self.clock.now(), ListKind::Full, entries.collect());
+        for address in &self.setup.upstreams {
+            let upstream = Upstream { address: *address, out: HashMap::new() };
+            self.upstreams.entry(id(address)).or_insert(upstream);
+        }
+        let listed = &self.setup.upstreams;
+        self.upstreams.retain(|_, u| listed.contains(&u.address) || !u.out.is_empty());
+        self.tell_room();
+    }
+
+    /// Takes up a new set-up while look-ups go on. What the module was told at the start stays, and so does
+    /// the socket.
+    pub fn reload(&mut self, setup: &Enum) {
+        let Enum { listen, query_timeout, settings, .. } = self.setup.clone();
+        self.setup = Enum { listen, query_timeout, settings, ..setup.clone() };
+        self.list_upstreams();
+        self.flush();
+    }
+
     /// Look-ups in hand, and those of them for calls.
     pub fn in_hand(&self) -> (usize, usize) {
         let calls = self.askers.values().filter(|a| matches!(a, Asker::Call(_))).count();
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -84,7 +84,10 @@
     look_up: Option<(enumeration::Handle, f64)>,
     started: Duration,
     peer_socket: Option<Rc<UdpSocket>>,
+    peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
+    pub(super) coordinator: Option<SocketAddr>,
+    pub(super) coordinator_moved: Rc<Notify>,
     pub(super) due: Rc<Notify>,
 }
 
@@ -108,7 +111,7 @@
                 class_names: config.class_names.clone(),
                 gauge_names: config.gauge_names.clone(),
                 connect_timeout: config.connect_timeout,
-                most_callers: (config.sockets as f64 * CALLERS_SHARE) as usize,
+                most_callers: most_callers(config),
                 last_event: config.known_index,
                 callers: BTreeMap::new(),
                 invites: HashMap::new(),
@@ -120,15 +123,36 @@
                 look_up: None,
                 started: now,
                 peer_socket: None,
+                peers: config.peers.clone(),
                 peers_all: config.peers_all,
+                coordinator: config.coordinator,
+                coordinator_moved: Rc::default(),
                 due: Rc::default(),
             })
         });
+        platform.borrow_mut().apply_known(config);
+        Ok(platform)
+    }
+
+    fn apply_known(&mut self, config: &Config) {
         for (index, known) in config.known.iter().enumerate() {
             let kind = if index == 0 || known.whole { ListKind::Stored } else { ListKind::Changes };
-            platform.borrow_mut().update(kind, known);
+            self.update(kind, known);
+        }
+    }
+
+    /// Takes up what a new configuration changes while calls go on: the coordinator, the other routers and
+    /// the limits. The list stays, since a coordinator is asked from the last event held; without one it is
+    /// the file's.
+    pub fn reload(&mut self, config: &Config) {
+        (self.peers, self.peers_all) = (config.peers.clone(), config.peers_all);
+        self.most_callers = most_callers(config);
+        if config.coordinator.is_none() {
+            self.apply_known(config);
+        }
+        if std::mem::replace(&mut self.coordinator, config.coordinator) != config.coordinator {
+            self.coordinator_moved.notify_one();
         }
-        Ok(platform)
     }
 
     fn conn(&mut self) -> u64 {
@@ -604,6 +628,11 @@
         self.peer_socket = Some(socket);
     }
 
+    /// Number of the router that sends from an address.
+    pub(super) fn peer_number(&self, from: SocketAddr) -> Option<u32> {
+        self.peers.iter().position(|p| *p == from).and_then(|n| u32::try_from(n).ok())
+    }
+
     pub(super) fn peer_message(&mut self, from: u32, text: &str) {
         self.core.peer(self.clock.now(), from, text.to_owned());
         self.flush();
@@ -635,6 +664,10 @@
     }
 }
 
+fn most_callers(config: &Config) -> usize {
+    (config.sockets as f64 * CALLERS_SHARE) as usize
+}
+
 /// How an attempt, or a call that stood, has ended.
 fn end_of(cause: Option<u32>, stood: bool) -> Status {
     match (cause, stood) {
--- a/src/wire/sockets.rs
+++ b/src/wire/sockets.rs
@@ -1,6 +1,7 @@
 //! The tasks of the platform's front: each reads and writes on one socket, and knows no more than that.
 
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -8,6 +9,7 @@
 
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::Instant;
 
 use super::driver::{self, Outbox, Shared};
 use super::link::ConnId;
@@ -16,7 +18,8 @@
 use crate::interface::ExchangeId;
 
 /// No word from the coordinator for so long, though a frame follows each second: it is connected anew.
-const COORDINATOR_SILENT: Duration = Duration::from_millis(2500);
+const COORDINATOR_SILENT: Duration = Duration::from_millis(2000);
+/// Two connects to it are so far apart at least.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
 /// How often links are looked after.
 const LOOK: Duration = Duration::from_millis(50);
@@ -101,18 +104,25 @@
     }
 }
 
-/// Follows the coordinator, connecting anew whenever it falls silent.
-pub async fn follow(platform: Handle, coordinator: SocketAddr) {
+/// Follows the coordinator: connects anew when it breaks off, falls silent or is changed by a reload, each
+/// time from the last event held.
+pub async fn follow(platform: Handle) {
     let (log, within) = (platform.borrow().log.clone(), platform.borrow().connect_timeout);
+    let moved = platform.borrow().coordinator_moved.clone();
     loop {
-        if let Ok(stream) = driver::connect(coordinator, within).await {
+        let Some(at) = platform.borrow().coordinator else {
+            moved.notified().await;
+            continue;
+        };
+        let (begun, heard) = (Instant::now(), Cell::new(Instant::now()));
+        let listen = async {
+            let stream = driver::connect(at, within).await?;
             let outbox = Outbox::new(driver::BACKLOGS.0);
-            let last = platform.borrow().last_event;
-            outbox.push(&coordinator::hello(last));
+            outbox.push(&coordinator::hello(platform.borrow().last_event));
             let mut decoder = coordinator::Decoder::default();
-            let heard = Cell::new(tokio::time::Instant::now());
+            heard.set(Instant::now());
             let pump = driver::pump(stream, &outbox, |bytes| {
-                heard.set(tokio::time::Instant::now());
+                heard.set(Instant::now());
                 decoder.feed(bytes);
                 loop {
                     match decoder.take() {
@@ -125,27 +135,40 @@
                     }
                 }
             });
+            // Guards against a coordinator that stops but keeps its connection open.
             let watch = async {
                 while heard.get().elapsed() < COORDINATOR_SILENT {
                     tokio::time::sleep_until(heard.get() + COORDINATOR_SILENT).await;
                 }
+                Err(io::ErrorKind::TimedOut.into())
             };
             tokio::select! {
-                ended = pump => info!(log, "coordinator disconnected"; "end" => ?ended),
-                () = watch => info!(log, "coordinator silent"),
+                ended = pump => ended,
+                silent = watch => silent,
+            }
+        };
+        tokio::select! {
+            ended = listen => info!(log, "coordinator disconnected"; "at" => %at, "end" => ?ended),
+            () = moved.notified() => {
+                info!(log, "coordinator changed"; "from" => %at);
+                continue;
             }
         }
-        tokio::time::sleep(COORDINATOR_PAUSE).await;
+        // Asked again at once, but not in a spin if nobody is there.
+        tokio::select! {
+            () = tokio::time::sleep_until(begun + COORDINATOR_PAUSE) => {}
+            () = moved.notified() => {}
+        }
     }
 }
 
 /// Takes datagrams of other routers.
-pub async fn hear_peers(platform: Handle, socket: Rc<UdpSocket>, peers: Vec<SocketAddr>) {
+pub async fn hear_peers(platform: Handle, socket: Rc<UdpSocket>) {
     platform.borrow_mut().set_peer_socket(socket.clone());
     let mut buffer = [0; 2 * DATAGRAM];
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
-        let sender = peers.iter().position(|p| *p == from).and_then(|n| u32::try_from(n).ok());
+        let sender = platform.borrow().peer_number(from);
         let text = std::str::from_utf8(&buffer[..length]).ok().filter(|_| length <= DATAGRAM);
         if let (Some(sender), Some(text)) = (sender, text) {
             platform.borrow_mut().peer_message(sender, text);
--- a/src/wire/standby.rs
+++ b/src/wire/standby.rs
@@ -10,6 +10,7 @@
 
 use super::driver::Clock;
 use super::vrrp::{Router, State};
+use crate::lifecycle::config::Vrrp;
 
 /// Largest advertisement: eight bytes and 255 addresses.
 const DATAGRAM: usize = 8 + 4 * 255;
@@ -19,7 +20,7 @@
 pub struct Standby {
     router: RefCell<Router>,
     socket: UdpSocket,
-    peers: Vec<SocketAddr>,
+    peers: RefCell<Vec<SocketAddr>>,
     active: Rc<Cell<bool>>,
     clock: Clock,
     log: Logger,
@@ -37,7 +38,7 @@
         log: Logger,
     ) -> Rc<Self> {
         active.set(false);
-        let router = RefCell::new(router);
+        let (router, peers) = (RefCell::new(router), RefCell::new(peers));
         Rc::new(Self { router, socket, peers, active, clock, log, stopped: Notify::new() })
     }
 
@@ -46,6 +47,12 @@
         self.router.borrow().state()
     }
 
+    /// Takes up a new set-up; the state and its timer go on, so that nobody takes over for it.
+    pub fn reload(&self, setup: &Vrrp) {
+        self.router.borrow_mut().reload(&setup.setup);
+        self.peers.replace(setup.peers.clone());
+    }
+
     /// Hands over to another router and ends.
     pub fn stop(&self) {
         let last = self.router.borrow_mut().stop(self.clock.now());
@@ -59,7 +66,7 @@
             info!(self.log, "virtual router"; "state" => ?state);
         }
         let Some(bytes) = advertisement else { return };
-        for peer in &self.peers {
+        for peer in self.peers.borrow().iter() {
             if let Err(e) = self.socket.try_send_to(&bytes, *peer) {
                 debug!(self.log, "advertisement not sent"; "peer" => %peer, "error" => %e);
             }
@@ -67,7 +74,7 @@
     }
 
     fn hear(&self, from: SocketAddr, bytes: &[u8]) {
-        if !self.peers.contains(&from) {
+        if !self.peers.borrow().contains(&from) {
             return debug!(self.log, "advertisement discarded"; "from" => %from, "why" => "a stranger");
         }
         let heard = self.router.borrow_mut().hear(self.clock.now(), from, bytes);
--- a/src/wire/vrrp.rs
+++ b/src/wire/vrrp.rs
@@ -126,6 +126,14 @@
         self.state
     }
 
+    /// Takes up priority, interval and preemption while it runs. State and timer are kept: an active router
+    /// stays so, and its next advertisement brings the change.
+    pub fn reload(&mut self, setup: &Setup) {
+        let Setup { priority, interval, preempt, .. } = *setup;
+        let (vrid, addresses) = (self.setup.vrid, std::mem::take(&mut self.setup.addresses));
+        self.setup = Setup { vrid, priority, interval, preempt, addresses };
+    }
+
     /// When [`Router::tick`] is due.
     pub fn due(&self) -> Option<Duration> {
         self.due
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -233,31 +233,90 @@
 
 #[test]
 fn a_drain_told_by_the_coordinator_stops_set_ups() {
-    let (exchange, coordinator) = (Exchange::start(), TcpListener::bind(any_port()).unwrap());
+    let (exchange, (listener, address)) = (Exchange::start(), coordinator());
     let mut config = config(&[exchange.address]);
-    config["coordinator"] = json!(coordinator.local_addr().unwrap().to_string());
+    config["coordinator"] = address;
     let mut router = Router::start(&config);
-    let (mut stream, _) = coordinator.accept().unwrap();
-    let mut last = [0; 8];
-    stream.read_exact(&mut last).unwrap();
-    assert_eq!(u64::from_be_bytes(last), 1);
-    let mut record = vec![0, 0, 0, 1, 127, 0, 0, 1];
-    record.extend(exchange.address.port().to_be_bytes());
-    record.extend([1, 0, 0, 0, 1, 0, 0, 3, 232, 0, 0, 0, 0, 0, 0, 0, 0]);
-    let mut frame = vec![0, 0, 0, 36, 0, 0, 0, 0, 0, 0, 0, 2, 2];
-    frame.extend(record);
-    stream.write_all(&frame).unwrap();
+    let (mut stream, last) = asked(&listener);
+    assert_eq!(last, 1);
+    stream.write_all(&frame(2, 1, 1, exchange.address)).unwrap();
     router.logged("Draining");
     let mut caller = router.caller();
     caller.ready();
     caller.invite("00000000000000b4", 1, 700);
     assert!(caller.hear().first.contains(" 503 "));
     assert!(exchange.heard_within("START", Duration::from_millis(100)).is_none());
-    // The link breaks: it is taken up again from the last event held.
+    // The link breaks in the middle of an event: it is taken up again at once, from the last event held.
+    stream.write_all(&frame(3, 1, 2, exchange.address)[..20]).unwrap();
     drop(stream);
-    let (mut stream, _) = coordinator.accept().unwrap();
-    stream.read_exact(&mut last).unwrap();
-    assert_eq!(u64::from_be_bytes(last), 2);
+    let broke = Instant::now();
+    assert_eq!(asked(&listener).1, 2);
+    assert!(broke.elapsed() < SLACK, "{:?}", broke.elapsed());
+}
+
+/// Guards against a coordinator that stops while its connection stays open, and against events told twice.
+#[test]
+fn a_silent_coordinator_is_asked_again_and_an_event_told_twice_counts_once() {
+    let (exchange, (listener, address)) = (Exchange::start(), coordinator());
+    let mut config = config(&[exchange.address]);
+    config["coordinator"] = address;
+    let mut router = Router::start(&config);
+    let (mut stream, _) = asked(&listener);
+    let draining = frame(2, 1, 1, exchange.address);
+    stream
+        .write_all(&[draining, frame(3, 1, 0, exchange.address), frame(2, 1, 1, exchange.address)].concat())
+        .unwrap();
+    router.logged("Draining");
+    let silent = Instant::now();
+    assert_eq!(asked(&listener).1, 3);
+    assert!(silent.elapsed() < Duration::from_secs(3), "{:?}", silent.elapsed());
+    let mut caller = router.caller();
+    caller.ready();
+    caller.invite("00000000000000b4", 1, 1500);
+    exchange.hear("START");
+}
+
+/// Guards against the default action of SIGHUP, which ends the program, and against events lost between
+/// two coordinators.
+#[test]
+fn a_reload_changes_the_coordinator_from_the_last_event_held_and_open_calls_go_on() {
+    let exchange = Exchange::start();
+    let ((old, address), (new, other)) = (coordinator(), coordinator());
+    let mut config = config(&[exchange.address]);
+    config["coordinator"] = address;
+    let mut router = Router::start(&config);
+    let (mut stream, _) = asked(&old);
+    stream.write_all(&frame(2, 7, 0, exchange.address)).unwrap();
+    router.logged("s-00000007");
+    let mut caller = router.caller();
+    caller.ready();
+    caller.invite("00000000000000ba", 1, 3000);
+    let (_, call, _) = exchange.hear("START");
+    config["coordinator"] = other;
+    router.reload(&config.to_string(), "reloaded");
+    let (mut stream, last) = asked(&new);
+    assert_eq!(last, 2);
+    started(&call, "00000000000000ba");
+    assert!(caller.hear().first.contains(" 200 "));
+    stream.write_all(&frame(3, 8, 0, exchange.address)).unwrap();
+    router.logged("s-00000008");
+}
+
+#[test]
+fn a_faulty_file_changes_nothing_at_a_reload() {
+    let exchange = Exchange::start();
+    let ((old, address), (_new, other)) = (coordinator(), coordinator());
+    let mut config = config(&[exchange.address]);
+    config["coordinator"] = address;
+    let mut router = Router::start(&config);
+    let (mut stream, _) = asked(&old);
+    config["coordinator"] = other;
+    config["known"]["index"] = json!("many");
+    router.reload(&config.to_string(), "known.index: must be a number");
+    router.reload("{", "reload refused");
+    stream.write_all(&frame(2, 9, 0, exchange.address)).unwrap();
+    router.logged("s-00000009");
+    router.caller().ready();
 }
 
 #[test]
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -33,6 +33,7 @@
 pub struct Router {
     pub child: Child,
     pub listen: SocketAddr,
+    pub file: std::path::PathBuf,
     log: Receiver<String>,
     said: Vec<String>,
     out: Receiver<String>,
@@ -57,7 +58,7 @@
             .spawn()
             .unwrap();
         let (log, out) = (lines(child.stderr.take().unwrap()), lines(child.stdout.take().unwrap()));
-        let mut router = Self { child, listen: any_port(), log, said: Vec::new(), out };
+        let mut router = Self { child, listen: any_port(), file, log, said: Vec::new(), out };
         router.listen = router.address("started");
         router
     }
@@ -89,6 +90,13 @@
         self.out.recv_timeout(LIMIT).unwrap()
     }
 
+    /// Replaces the configuration file and asks for it to be read.
+    pub fn reload(&mut self, text: &str, logged: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+        self.logged(logged);
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
@@ -270,6 +278,33 @@
     say(stream, &json!({"verb": "FINISH", "tag": call, "opts": {"note": note}, "rc": cause}));
 }
 
+/// A coordinator's listener, and its address as it stands in a configuration.
+pub fn coordinator() -> (TcpListener, Value) {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    (listener, json!(address))
+}
+
+/// Takes the router's connection and the number of the last event it has.
+pub fn asked(listener: &TcpListener) -> (TcpStream, u64) {
+    let (mut stream, _) = listener.accept().unwrap();
+    let mut last = [0; 8];
+    stream.read_exact(&mut last).unwrap();
+    (stream, u64::from_be_bytes(last))
+}
+
+/// An event with one record: exchange `id` at place 1.
+pub fn frame(number: u64, id: u32, state: u8, at: SocketAddr) -> Vec<u8> {
+    let mut frame = vec![0, 0, 0, 36];
+    frame.extend(number.to_be_bytes());
+    frame.push(2);
+    frame.extend(id.to_be_bytes());
+    frame.extend([127, 0, 0, 1]);
+    frame.extend(at.port().to_be_bytes());
+    frame.extend([state, 0, 0, 0, 1, 0, 0, 3, 232, 0, 0, 0, 0, 0, 0, 0, 0]);
+    frame
+}
+
 /// A resolver's socket.
 pub fn resolver() -> UdpSocket {
     let socket = UdpSocket::bind(any_port()).unwrap();
