Give every bad caller a word or a close; send releases where calls are served

Checked with a probe of what they send: 33 set-ups per router bear the id of another caller's open set-up with another description and were passed over in silence (`platform.rs`, invite); half messages and silent connections were never closed; width 0 and 400 and destination 99 went to the module. Of 1140 releases all 1117 on a call's own connection were confirmed; the 23 that fell back to another went to the newest one, mostly a silent one (`release`, `iter().rev()`). Ruled out: releases lost on the call's own connection (3 unheard of 1117). A release that falls back goes to a connection on which calls stood and, unheard for 300 ms, again to another.

--- a/src/memory/exchanges.rs
+++ b/src/memory/exchanges.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::interface::{Entry, ExchangeId, Health, ListKind};
+use crate::interface::{Entry, ExchangeId, Health, ListKind, Place};
 
 /// Every exchange that was ever listed, with its last line.
 #[derive(Debug, Default)]
@@ -38,6 +38,11 @@
         self.lines.values()
     }
 
+    /// Whether a place is one that calls can go to, now or when its exchange is back.
+    pub fn serves(&self, place: Place) -> bool {
+        self.lines.values().any(|e| e.place == place)
+    }
+
     /// Whether the exchange was ever listed.
     pub fn knows(&self, exchange: &ExchangeId) -> bool {
         self.lines.contains_key(exchange)
--- /dev/null
+++ b/src/wire/callers.rs
@@ -0,0 +1,186 @@
+//! The connections of callers: which may come, which have to go, and over which a release is sent.
+
+use std::collections::{BTreeMap, HashSet};
+use std::time::Duration;
+
+use super::driver::Shared;
+use crate::interface::CallId;
+
+/// Connections that may be closing beyond the share.
+const CLOSING: usize = 16;
+/// A connection that has brought no whole message for so long, or half of one, is closed.
+///
+/// Guards against callers that connect and say nothing, or never end what they say.
+const SILENT: Duration = Duration::from_secs(2);
+/// A connection without a set-up is kept for so long after its last message; callers close theirs sooner.
+///
+/// Guards against callers that ask once and hold the connection for good.
+const IDLE: Duration = Duration::from_secs(20);
+/// Messages that can't be served, on one connection, before it is closed.
+///
+/// Guards the turn of other callers against one that sends the same again as soon as it is turned away.
+const OFFENCES: u32 = 8;
+
+#[derive(Debug)]
+struct Caller {
+    outbox: Shared,
+    invites: HashSet<CallId>,
+    opened: Duration,
+    /// Last whole message.
+    heard: Option<Duration>,
+    /// Since when a message has been begun and not ended.
+    half: Option<Duration>,
+    /// A call of it has stood: it is one of those that follow the protocol.
+    proven: bool,
+    offences: u32,
+}
+
+impl Caller {
+    fn is_idle(&self) -> bool {
+        self.invites.is_empty() && self.outbox.is_open()
+    }
+
+    fn last(&self) -> Duration {
+        self.heard.unwrap_or(self.opened)
+    }
+}
+
+/// All connections of callers.
+#[derive(Debug)]
+pub struct Callers {
+    open: BTreeMap<u64, Caller>,
+    /// Connections at most.
+    pub most: usize,
+}
+
+impl Callers {
+    /// No connection yet, and so many at most.
+    pub fn new(most: usize) -> Self {
+        Self { open: BTreeMap::new(), most }
+    }
+
+    /// Takes a new connection; false if there is no room for it.
+    ///
+    /// Guards against connections that are opened and left: of those without a set-up the one of least use
+    /// makes room, and those that are still closing are not counted on.
+    pub fn admit(&mut self, now: Duration, id: u64, outbox: Shared) -> bool {
+        if self.open.len() >= self.most {
+            let idle = self.open.values().filter(|c| c.is_idle());
+            let Some(least) = idle.min_by_key(|c| (c.proven, c.heard.is_some(), c.last())) else {
+                return false;
+            };
+            least.outbox.close();
+            if self.open.len() >= self.most + CLOSING {
+                return false;
+            }
+        }
+        let caller = Caller {
+            outbox,
+            invites: HashSet::new(),
+            opened: now,
+            heard: None,
+            half: None,
+            proven: false,
+            offences: 0,
+        };
+        self.open.insert(id, caller);
+        true
+    }
+
+    /// A connection has ended; returns the set-ups that were open on it.
+    pub fn remove(&mut self, id: u64) -> HashSet<CallId> {
+        self.open.remove(&id).map(|c| c.invites).unwrap_or_default()
+    }
+
+    /// A whole message has come.
+    pub fn heard(&mut self, now: Duration, id: u64) {
+        if let Some(caller) = self.open.get_mut(&id) {
+            caller.heard = Some(now);
+        }
+    }
+
+    /// After what was read last, the connection is in the middle of a message or not.
+    pub fn reading(&mut self, now: Duration, id: u64, half: bool) {
+        if let Some(caller) = self.open.get_mut(&id) {
+            caller.half = half.then(|| caller.half.unwrap_or(now));
+        }
+    }
+
+    /// It sent what can't be served; after too many such messages it is closed.
+    pub fn offence(&mut self, id: u64) {
+        let Some(caller) = self.open.get_mut(&id) else { return };
+        caller.offences += 1;
+        if caller.offences >= OFFENCES {
+            caller.outbox.close();
+        }
+    }
+
+    /// A set-up came on it.
+    pub fn begin(&mut self, id: u64, call: CallId) {
+        if let Some(caller) = self.open.get_mut(&id) {
+            caller.invites.insert(call);
+        }
+    }
+
+    /// A set-up of it is answered or gone.
+    pub fn end(&mut self, id: u64, call: &CallId) {
+        if let Some(caller) = self.open.get_mut(&id) {
+            caller.invites.remove(call);
+        }
+    }
+
+    /// Set-ups open on it.
+    pub fn set_ups(&self, id: u64) -> usize {
+        self.open.get(&id).map_or(0, |c| c.invites.len())
+    }
+
+    /// A call of it stands.
+    pub fn stood(&mut self, id: u64) {
+        if let Some(caller) = self.open.get_mut(&id) {
+            caller.proven = true;
+        }
+    }
+
+    /// Writes on a connection.
+    pub fn say(&self, id: u64, bytes: &[u8]) {
+        if let Some(caller) = self.open.get(&id) {
+            caller.outbox.push(bytes);
+        }
+    }
+
+    /// Over which connection a release goes: its call's own, else the one most surely followed by a caller
+    /// that serves calls; `not` has been tried.
+    ///
+    /// Guards against releases sent to a connection that was opened and left, as the newest often is.
+    pub fn for_release(&self, own: Option<u64>, not: Option<u64>) -> Option<u64> {
+        let fits = |id: &u64| Some(*id) != not && self.open.get(id).is_some_and(|c| c.outbox.is_open());
+        let others = self.open.iter().filter(|(id, _)| fits(id));
+        own.filter(fits).or_else(|| others.max_by_key(|(id, c)| (c.proven, c.heard, **id)).map(|(id, _)| *id))
+    }
+
+    /// Closes what has been silent, in the middle of a message or idle for too long; returns those for which
+    /// a last word is due: they never ended their message.
+    pub fn look(&self, now: Duration) -> Vec<u64> {
+        let mut late = Vec::new();
+        let kept = self.open.values().filter(|c| c.proven && c.outbox.is_open()).count();
+        for (id, caller) in self.open.iter().filter(|(_, c)| c.outbox.is_open()) {
+            let silent = caller.heard.is_none() && now >= caller.opened + SILENT;
+            let half = caller.half.is_some_and(|since| now >= since + SILENT);
+            // The last that serves calls stays, for the releases.
+            let idle = caller.is_idle() && now >= caller.last() + IDLE && (!caller.proven || kept > 1);
+            if half {
+                late.push(*id);
+            } else if idle || silent && caller.is_idle() {
+                caller.outbox.close();
+            }
+        }
+        late
+    }
+
+    /// Closes a connection once what is queued has been written.
+    pub fn close(&self, id: u64) {
+        if let Some(caller) = self.open.get(&id) {
+            caller.outbox.close();
+        }
+    }
+}
--- a/src/wire/driver.rs
+++ b/src/wire/driver.rs
@@ -16,6 +16,8 @@
 /// Guards the memory limit: one peer that stops reading must not take the room of all others. Callers are
 /// many, exchanges few.
 pub const BACKLOGS: (usize, usize) = (48 * 1024, 256 * 1024);
+/// What a connection keeps allocated for its output while nothing waits.
+const ROOM: usize = 16 * 1024;
 /// Connections waiting to be accepted.
 const ACCEPTS: u32 = 512;
 
@@ -104,6 +106,10 @@
     let mut written = 0;
     loop {
         if written == output.len() {
+            if output.capacity() > ROOM {
+                // Guards memory against the longest backlog of each of many connections.
+                output = Vec::new();
+            }
             output.clear();
             written = 0;
             std::mem::swap(&mut output, &mut outbox.bytes.borrow_mut());
@@ -114,7 +120,9 @@
         tokio::select! {
             read = reader.read(&mut input) => {
                 let n = read?;
-                if n == 0 || on_bytes(&input[..n]).is_break() {
+                // Guards against a set-up that is taken up on a connection already marked for closing: its
+                // caller sends it again.
+                if n == 0 || !outbox.is_open() || on_bytes(&input[..n]).is_break() {
                     // What was queued as a last word is still written, as far as it goes at once.
                     output.drain(..written);
                     output.append(&mut outbox.bytes.borrow_mut());
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken on the wire. Each protocol is a state machine that is fed bytes (and time) and knows
 //! no socket; [`driver`] and the fronts do the reading and writing.
 
+pub mod callers;
 pub mod coordinator;
 pub mod dns;
 pub mod driver;
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -3,7 +3,7 @@
 //! It turns messages into requests and replies for the core, and the core's effects into messages.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -18,7 +18,7 @@
 use super::enumeration::{self, Resolved};
 use super::link::{ConnId, Failure, Link};
 use super::sip::{Message, Start};
-use super::{coordinator, jsonl, sip, sockets};
+use super::{callers::Callers, coordinator, jsonl, sip, sockets};
 use crate::interface::*;
 use crate::lifecycle::config::{Config, Listed, Update};
 use crate::memory::calls::Origin;
@@ -32,31 +32,42 @@
 const RELEASES: usize = 8192;
 /// Share of the descriptors for connections of callers; they hold a third at most by themselves.
 const CALLERS_SHARE: f64 = 0.6;
-/// Connections that may be closing beyond that share.
-const CLOSING: usize = 16;
-/// A release that is not heard of for so long has arrived: hearing it is free.
-const UNHEARD: Duration = Duration::from_secs(2);
+/// A release that is not heard of for so long is sent again over another connection, so often at most:
+/// hearing it is free, so one that is never heard of may have arrived all the same.
+///
+/// Guards against releases that went to a caller that does not follow the protocol, or crossed a close.
+const UNHEARD: (Duration, u32) = (Duration::from_millis(300), 4);
+/// Set-ups open on one connection at most.
+const SET_UPS: usize = 1024;
+/// Circuits that one call may take: more than any bearer service needs (H12, 30 channels).
+const WIDEST: f64 = 64.0;
+/// Longest time that a caller may say it waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// Largest datagram between routers.
 pub const DATAGRAM: usize = 256;
 
-#[derive(Debug)]
-struct Caller {
-    outbox: Shared,
-    invites: HashSet<CallId>,
-    heard: Duration,
-}
-
 #[derive(Debug)]
 struct Invite {
     caller: u64,
     echoed: String,
 }
 
+/// A release that waits for a connection.
 #[derive(Debug)]
 struct Release {
     call: CallId,
     cause: u32,
     until: Duration,
+    times: u32,
+}
+
+/// A release that was sent and has not been heard of.
+#[derive(Debug)]
+struct Sent {
+    caller: u64,
+    cause: u32,
+    at: Duration,
+    times: u32,
 }
 
 /// The front and all that it holds.
@@ -70,16 +81,16 @@
     class_names: Vec<String>,
     gauge_names: Vec<String>,
     pub(super) connect_timeout: Duration,
-    most_callers: usize,
     pub(super) last_event: u64,
-    callers: BTreeMap<u64, Caller>,
+    callers: Callers,
     invites: HashMap<CallId, Invite>,
-    /// Releases sent and not yet heard: by which connection, the cause, and when.
-    releases: HashMap<CallId, (u64, u32, Duration)>,
+    releases: HashMap<CallId, Sent>,
     waiting: VecDeque<Release>,
     links: BTreeMap<ExchangeId, Link>,
     next_conn: u64,
     draining: bool,
+    /// How long a caller that is turned away without the module's word is to stay away, ms.
+    hold_off: Option<u128>,
     /// Looks numbers up, where that is set up, and for which share of a call's time.
     look_up: Option<(enumeration::Handle, f64)>,
     started: Duration,
@@ -100,7 +111,7 @@
     /// # Errors
     /// When the decision module takes the settings for senseless.
     pub fn new(config: &Config, log: Logger, clock: Clock) -> Result<Handle, SettingsError> {
-        let now = clock.now();
+        let (now, limits) = (clock.now(), &config.settings.limits);
         let controller = Controller::new(config.settings.clone(), config.seed, now)?;
         let platform = Rc::new_cyclic(|me| {
             RefCell::new(Self {
@@ -111,15 +122,15 @@
                 class_names: config.class_names.clone(),
                 gauge_names: config.gauge_names.clone(),
                 connect_timeout: config.connect_timeout,
-                most_callers: most_callers(config),
                 last_event: config.known_index,
-                callers: BTreeMap::new(),
+                callers: Callers::new(most_callers(config)),
                 invites: HashMap::new(),
                 releases: HashMap::new(),
                 waiting: VecDeque::new(),
                 links: BTreeMap::new(),
                 next_conn: 0,
                 draining: false,
+                hold_off: limits.retry_after.then_some(limits.max_retry_after.as_millis()),
                 look_up: None,
                 started: now,
                 peer_socket: None,
@@ -146,7 +157,7 @@
     /// the file's.
     pub fn reload(&mut self, config: &Config) {
         (self.peers, self.peers_all) = (config.peers.clone(), config.peers_all);
-        self.most_callers = most_callers(config);
+        self.callers.most = most_callers(config);
         if config.coordinator.is_none() {
             self.apply_known(config);
         }
@@ -252,11 +263,9 @@
 
     pub(super) fn caller_message(&mut self, caller: u64, message: Message) {
         let now = self.clock.now();
-        if let Some(caller) = self.callers.get_mut(&caller) {
-            caller.heard = now;
-        }
+        self.callers.heard(now, caller);
         let Some(id) = message.call_id().map(|id| CallId(id.into())) else {
-            return self.say(caller, &sip::response(400, &message.echoed(), None, b""));
+            return self.turn_down(caller, 400, &message.echoed(), "no Call-ID");
         };
         let Start::Request { method, user } = &message.start else {
             let of = message.header("CSeq").unwrap_or_default();
@@ -275,7 +284,10 @@
                 self.withdraw(now, &id, true);
             }
             "BYE" => {
-                self.say(caller, &sip::response(200, &echoed, None, b""));
+                // After a restart it is not known which calls stand; the release is passed on all the same.
+                let known = self.core.calls.open.contains_key(&id) || self.core.calls.is_over(&id);
+                let status = if known { 200 } else { 481 };
+                self.say(caller, &sip::response(status, &echoed, None, b""));
                 self.releases.remove(&id);
                 let cause = sip::cause_of(message.header("Reason"));
                 self.core.hang_up(now, &id, cause);
@@ -284,7 +296,7 @@
                 let status = if self.is_ready() { 200 } else { 503 };
                 self.say(caller, &sip::response(status, &echoed, None, b""));
             }
-            _ => self.say(caller, &sip::response(501, &echoed, None, b"")),
+            _ => self.turn_down(caller, 501, &echoed, "method not served"),
         }
         self.flush();
     }
@@ -298,28 +310,63 @@
         message: &Message,
         echoed: String,
     ) {
-        let class = message.header("X-Call-Class");
-        let class = class.and_then(|name| self.class_names.iter().position(|n| n == name));
-        let limit = message.header("X-Ring-Limit").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
-        let list = message.header("X-Dest").unwrap_or_default();
-        let figure = |name| sip::figure(list, name);
-        let place =
-            |name| figure(name).filter(|n| (0.0..=f64::from(u32::MAX)).contains(n)).map(|n| Place(n as u32));
-        let description = std::str::from_utf8(&message.body);
-        let dest = place("dest");
-        let known = dest.is_some() || (self.look_up.is_some() && figure("dest").is_none());
-        let (Some(class), Some(limit), true, Ok(description)) = (class, limit, known, description) else {
-            warn!(self.log, "set-up not understood"; "call" => &*id.0, "dest" => list);
-            return self.say(caller, &sip::response(400, &echoed, None, b""));
+        let Some(offer) = self.offer(&id, number, message) else {
+            return self.turn_down(caller, 400, &echoed, "set-up not understood");
         };
-        if self.invites.contains_key(&id)
-            || self.core.calls.open.contains_key(&id)
-            || self.core.calls.is_over(&id)
-        {
-            // Guards against a second answer, and against one that is waited for in vain at the stop: an id
-            // is never reused, so this is the same set-up again.
-            return warn!(self.log, "set-up came twice"; "call" => &*id.0);
+        let Ok(description) = std::str::from_utf8(&message.body) else {
+            return self.turn_down(caller, 400, &echoed, "description is not UTF-8");
+        };
+        let (dest, offer) = offer;
+        // Guards against a second answer: an id is never reused, so one that comes again is the same set-up,
+        // which is passed over, or somebody else's, which is told so and leaves the first alone.
+        let held = self.core.calls.open.get(&id).map(|c| (c.origin.0, &*c.description == description));
+        let asked = self.invites.get(&id).map(|i| (i.caller, held.is_none_or(|h| h.1)));
+        if let Some((origin, same)) = asked.or(held) {
+            if origin == caller && same {
+                debug!(self.log, "set-up came twice"; "call" => &*id.0);
+                return self.callers.offence(caller);
+            }
+            return self.turn_down(caller, 482, &echoed, "id of another set-up");
+        }
+        if self.core.calls.is_over(&id) {
+            return self.turn_down(caller, 482, &echoed, "id of a set-up that is over");
         }
+        if let Some(place) = dest.filter(|d| !self.core.exchanges.serves(*d)) {
+            debug!(self.log, "no such exchange"; "place" => place.0);
+            return self.turn_down(caller, 404, &echoed, "no such destination");
+        }
+        // Guards memory, and the turn of the others, against a caller that floods one connection.
+        if self.callers.set_ups(caller) >= SET_UPS {
+            return self.say(caller, &sip::response(503, &echoed, self.hold_off, b""));
+        }
+        self.invites.insert(id.clone(), Invite { caller, echoed });
+        self.callers.begin(caller, id);
+        let request = Request { origin: Origin(caller), offer, description: description.into() };
+        match dest {
+            Some(_) => self.core.request(now, request),
+            None => self.look_up(now, request),
+        }
+    }
+
+    /// Reads what a set-up asks for; `None` if a figure is missing, no number or out of range. A destination
+    /// may be missing where numbers are looked up.
+    fn offer(&self, id: &CallId, number: Arc<str>, message: &Message) -> Option<(Option<Place>, Offer)> {
+        let class = message.header("X-Call-Class");
+        let class = class.and_then(|name| self.class_names.iter().position(|n| n == name))?;
+        let limit = Duration::from_millis(message.header("X-Ring-Limit")?.parse().ok()?);
+        let figures = sip::figures(message.header("X-Dest").unwrap_or_default())?;
+        let figure = |name| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
+        let whole = |name, least: f64, most: f64| match figure(name) {
+            None => Some(None),
+            Some(n) => ((least..=most).contains(&n) && n.fract() == 0.0).then_some(Some(n)),
+        };
+        let dest = whole("dest", 0.0, f64::from(u32::MAX))?.map(|n| Place(n as u32));
+        let width = whole("width", 1.0, WIDEST)?.map(|n| n as u32);
+        let via = whole("via", -1.0, f64::from(u32::MAX))?.filter(|n| *n >= 0.0).map(|n| Place(n as u32));
+        let flag = |name| whole(name, 0.0, 1.0).map(|n| n == Some(1.0));
+        let again = message.header("X-Again").unwrap_or("0");
+        let fits = !limit.is_zero() && limit <= LONGEST_WAIT && matches!(again, "0" | "1");
+        (fits && (dest.is_some() || self.look_up.is_some())).then_some(())?;
         let offer = Offer {
             call: id.clone(),
             class,
@@ -327,21 +374,20 @@
             number,
             remaining: limit.saturating_sub(ON_THE_WAY),
             dest: dest.unwrap_or(Place(0)),
-            width: figure("width").filter(|w| *w >= 0.0).map(|w| w as u32),
-            via: place("via"),
-            again: message.header("X-Again") == Some("1"),
-            transit: figure("transit") == Some(1.0),
-            reconnect: figure("again") == Some(1.0),
+            width,
+            via,
+            again: again == "1",
+            transit: flag("transit")?,
+            reconnect: flag("again")?,
         };
-        self.invites.insert(id.clone(), Invite { caller, echoed });
-        if let Some(caller) = self.callers.get_mut(&caller) {
-            caller.invites.insert(id);
-        }
-        let request = Request { origin: Origin(caller), offer, description: description.into() };
-        match dest {
-            Some(_) => self.core.request(now, request),
-            None => self.look_up(now, request),
-        }
+        Some((dest, offer))
+    }
+
+    /// A message that can't be served.
+    fn turn_down(&mut self, caller: u64, status: u16, echoed: &str, why: &str) {
+        debug!(self.log, "turned down"; "caller" => caller, "status" => status, "why" => why);
+        self.say(caller, &sip::response(status, echoed, None, b""));
+        self.callers.offence(caller);
     }
 
     /// Finds the destination of a call that brings only a number, then routes it with the time it has left.
@@ -389,34 +435,27 @@
 
     fn take_invite(&mut self, id: &CallId) -> Option<Invite> {
         let invite = self.invites.remove(id)?;
-        if let Some(caller) = self.callers.get_mut(&invite.caller) {
-            caller.invites.remove(id);
-        }
+        self.callers.end(invite.caller, id);
         Some(invite)
     }
 
     fn say(&self, caller: u64, bytes: &[u8]) {
-        if let Some(caller) = self.callers.get(&caller) {
-            caller.outbox.push(bytes);
-        }
+        self.callers.say(caller, bytes);
+    }
+
+    /// After what was read last, a caller is in the middle of a message or not.
+    pub(super) fn caller_reading(&mut self, caller: u64, half: bool) {
+        self.callers.reading(self.clock.now(), caller, half);
     }
 
     pub(super) fn caller_opened(&mut self, outbox: Shared) -> Option<u64> {
-        let now = self.clock.now();
-        if self.callers.len() >= self.most_callers {
-            // Guards against connections that are opened and left: the one that has been idle for longest
-            // makes room, and those that are still closing are not counted on.
-            let idle = self.callers.values().filter(|c| c.invites.is_empty() && c.outbox.is_open());
-            idle.min_by_key(|c| c.heard)?.outbox.close();
-            if self.callers.len() >= self.most_callers + CLOSING {
-                return None;
-            }
+        let (now, id) = (self.clock.now(), self.conn());
+        if !self.callers.admit(now, id, outbox) {
+            return None;
         }
-        let id = self.conn();
-        self.callers.insert(id, Caller { outbox, invites: HashSet::new(), heard: now });
         for release in std::mem::take(&mut self.waiting) {
             if release.until > now {
-                self.release(Some(id), release.call, release.cause);
+                self.send_release(Some(id), release.call, release.cause, release.times);
             }
         }
         Some(id)
@@ -424,38 +463,41 @@
 
     pub(super) fn caller_closed(&mut self, caller: u64) {
         let now = self.clock.now();
-        let Some(gone) = self.callers.remove(&caller) else { return };
-        for id in gone.invites {
+        for id in self.callers.remove(caller) {
             self.withdraw(now, &id, false);
         }
         // Guards against releases lost in a close that crossed them.
-        let unheard: Vec<(CallId, u32)> =
-            self.releases.iter().filter(|(_, r)| r.0 == caller).map(|(id, r)| (id.clone(), r.1)).collect();
-        for (call, cause) in unheard {
-            self.releases.remove(&call);
-            self.release(None, call, cause);
-        }
+        let unheard: Vec<CallId> =
+            self.releases.iter().filter(|(_, r)| r.caller == caller).map(|(id, _)| id.clone()).collect();
+        unheard.iter().for_each(|call| self.release_again(call));
         self.flush();
     }
 
     /// Tells a call's client that it is over: over its own connection, else over any, else a little later.
     fn release(&mut self, caller: Option<u64>, call: CallId, cause: u32) {
-        let own = caller.and_then(|c| self.callers.get_key_value(&c)).filter(|(_, c)| c.outbox.is_open());
-        let open = own.or_else(|| self.callers.iter().rev().find(|(_, c)| c.outbox.is_open()));
-        match open {
-            Some((id, caller)) => {
-                caller.outbox.push(&sip::bye(&call.0, cause));
-                self.releases.insert(call, (*id, cause, self.clock.now()));
-            }
-            None => {
-                if self.waiting.len() >= RELEASES {
-                    self.waiting.pop_front();
-                }
-                self.waiting.push_back(Release { call, cause, until: self.clock.now() + RELEASE_WAIT });
-            }
+        self.send_release(self.callers.for_release(caller, None), call, cause, 1);
+    }
+
+    fn release_again(&mut self, call: &CallId) {
+        if let Some(sent) = self.releases.remove(call).filter(|r| r.times < UNHEARD.1) {
+            let other = self.callers.for_release(None, Some(sent.caller));
+            self.send_release(other, call.clone(), sent.cause, sent.times + 1);
         }
     }
 
+    fn send_release(&mut self, caller: Option<u64>, call: CallId, cause: u32, times: u32) {
+        let at = self.clock.now();
+        if let Some(caller) = caller {
+            self.say(caller, &sip::bye(&call.0, cause));
+            self.releases.insert(call, Sent { caller, cause, at, times });
+            return;
+        }
+        if self.waiting.len() >= RELEASES {
+            self.waiting.pop_front();
+        }
+        self.waiting.push_back(Release { call, cause, until: at + RELEASE_WAIT, times });
+    }
+
     // ---- booking exchanges ---------------------------------------------------------------------
 
     pub(super) fn exchange_line(&mut self, exchange: &ExchangeId, conn: ConnId, line: &jsonl::Line) {
@@ -601,6 +643,7 @@
             }
             Effect::Answer { call, description, .. } => match self.take_invite(&call) {
                 Some(invite) => {
+                    self.callers.stood(invite.caller);
                     let answer = sip::response(200, &invite.echoed, None, description.as_bytes());
                     self.say(invite.caller, &answer);
                 }
@@ -658,7 +701,14 @@
     }
 
     fn look(&mut self, now: Duration) {
-        self.releases.retain(|_, (_, _, sent)| now < *sent + UNHEARD);
+        let unheard = self.releases.iter().filter(|(_, r)| now >= r.at + UNHEARD.0);
+        let unheard: Vec<CallId> = unheard.map(|(id, _)| id.clone()).collect();
+        unheard.iter().for_each(|call| self.release_again(call));
+        for caller in self.callers.look(now) {
+            debug!(self.log, "caller closed"; "caller" => caller, "why" => "half a message");
+            self.say(caller, &sip::response(408, "", None, b""));
+            self.callers.close(caller);
+        }
         let exchanges: Vec<ExchangeId> = self.links.keys().cloned().collect();
         exchanges.iter().for_each(|e| self.connect(e));
     }
--- a/src/wire/sip.rs
+++ b/src/wire/sip.rs
@@ -76,6 +76,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Whether it holds a part of a message.
+    pub fn is_amid(&self) -> bool {
+        !self.bytes.is_empty()
+    }
+
     /// The next whole message, if there is one.
     ///
     /// # Errors
@@ -142,7 +147,9 @@
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
+        408 => "Request Timeout",
         481 => "Call Does Not Exist",
+        482 => "Loop Detected",
         487 => "Request Terminated",
         500 => "Server Internal Error",
         501 => "Not Implemented",
@@ -182,6 +189,13 @@
     cause.and_then(|c| c.trim().parse().ok()).unwrap_or(16)
 }
 
+/// The figures of a list such as `dest:2;width:1;via:-1`; `None` if it is no such list, or one is no number.
+pub fn figures(list: &str) -> Option<Vec<(&str, f64)>> {
+    let pairs = list.split(';').map(str::trim).filter(|pair| !pair.is_empty());
+    let figure = |pair: &'_ str| -> Option<f64> { pair.trim().parse().ok().filter(|n: &f64| n.is_finite()) };
+    pairs.map(|pair| pair.split_once(':').and_then(|(n, v)| Some((n.trim(), figure(v)?)))).collect()
+}
+
 /// One figure of a list such as `dest:2;width:1;via:-1`.
 pub fn figure(list: &str, name: &str) -> Option<f64> {
     let mut pairs = list.split(';').filter_map(|pair| pair.split_once(':'));
--- a/src/wire/sockets.rs
+++ b/src/wire/sockets.rs
@@ -72,9 +72,11 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
+        // Guards against a rush of connections: those that make room for it are closed before the next comes.
+        tokio::task::yield_now().await;
         let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.0));
         let Some(caller) = platform.borrow_mut().caller_opened(outbox.clone()) else {
-            warn!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
+            debug!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
             continue;
         };
         let platform = platform.clone();
@@ -82,17 +84,22 @@
             let mut decoder = sip::Decoder::default();
             let ended = driver::pump(stream, &outbox, |bytes| {
                 decoder.feed(bytes);
-                loop {
+                // What comes after the last word is not served.
+                while outbox.is_open() {
                     match decoder.take() {
                         Ok(Some(message)) => platform.borrow_mut().caller_message(caller, message),
-                        Ok(None) => return ControlFlow::Continue(()),
+                        Ok(None) => {
+                            platform.borrow_mut().caller_reading(caller, decoder.is_amid());
+                            return ControlFlow::Continue(());
+                        }
                         Err(e) => {
-                            warn!(platform.borrow().log, "caller closed"; "why" => e.why);
+                            debug!(platform.borrow().log, "caller closed"; "why" => e.why);
                             outbox.push(&sip::response(e.status, "", None, b""));
                             return ControlFlow::Break(());
                         }
                     }
                 }
+                ControlFlow::Break(())
             })
             .await;
             outbox.close();
