--- a/src/choice.rs
+++ b/src/choice.rs
@@ -702,8 +702,7 @@
 
     /// λs is learned from what is ours: delay toward a place that is shut for itself says nothing of us.
     fn note_own(&mut self, place: Place, delay: f64) {
-        let own_shut = self.own_window.size < 1.0;
-        if own_shut || self.far.get(&place).is_none_or(|f| f.window.size >= 1.0) {
+        if self.own_window.size < 1.0 || self.far.get(&place).is_none_or(|f| f.window.size >= 1.0) {
             self.own.note(delay);
         }
     }
@@ -750,14 +749,15 @@
         self.read_report(&outcome.exchange, &outcome.report, false);
         let Some(call) = self.calls.get_mut(&outcome.call) else { return };
         let Some(attempt) = call.out.take_if(|_| outcome.seq + 1 == call.attempts) else { return };
-        if outcome.status == Status::Moot {
-            // The other end took the last circuit first: the way itself stays open to this call.
+        if matches!(outcome.status, Status::Moot | Status::Error) {
+            // The other end took the last circuit first, or one set-up failed: the way itself stays open.
             call.tried.retain(|p| *p != attempt.place);
             if matches!(outcome.cause, Some(Cause::ProcessorFull(_))) {
                 // The own processor is down: half a window, so one trial a cycle and no other call is spent.
                 self.own_window.size = self.own_window.size.min(0.5);
-            } else if let Some(far) = self.far.get_mut(&attempt.place).filter(|f| f.free.is_some()) {
-                far.free = Some(0.0);
+            } else if outcome.status == Status::Moot {
+                let far = self.far.entry(attempt.place).or_default();
+                far.free = far.free.map(|_| 0.0);
             }
         }
         let (stood, dest) = (std::mem::take(&mut call.stands), call.offer.dest);
@@ -803,13 +803,13 @@
         }
         let safe = self.set.classes[call.class].effect == Effect::Safe;
         call.doubtful |= !safe && (guarded || outcome.status == Status::Error);
-        let full = matches!(outcome.cause, Some(Cause::TurnedBackFull | Cause::ProcessorFull(_)));
-        if full || outcome.status == Status::Error {
-            // No other way leads round a full processor or busy lines, and each refusal is work to it.
+        if matches!(outcome.cause, Some(Cause::TurnedBackFull | Cause::ProcessorFull(_) | Cause::LinesBusy)) {
+            // No way leads round a full processor or busy lines; what merely failed goes again in time.
             call.guard_until = call.guard_until.max(self.now + CYCLE);
         }
         let guard_until = call.guard_until;
-        if call.offer.transit || guard_until >= call.held_until {
+        let given_up = call.doubtful || call.attempts >= self.set.limits.max_attempts;
+        if call.offer.transit || given_up || guard_until >= call.held_until {
             self.refuse(&outcome.call, out);
         } else if guard_until > self.now {
             call.tried.clear();
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -89,6 +89,27 @@
     assert!(caller.hear().first.contains(" 200 "));
 }
 
+/// Guards against an exchange at which a share of the set-ups fails: waiting costs the aim, and once the
+/// attempts are spent the caller is told at once, not at its deadline.
+#[rstest]
+#[case::then_stands(3, " 200 ")]
+#[case::for_good(5, " 503 ")]
+fn a_set_up_that_failed_goes_again_at_once(#[case] failures: u32, #[case] end: &str) {
+    let (exchange, _router, mut caller) = one();
+    let begun = Instant::now();
+    caller.invite("00000000000000bb", 1, 3000);
+    for _ in 0..failures {
+        let (_, stream, _) = exchange.hear("START");
+        finish(&stream, "00000000000000bb", 47, "");
+    }
+    if failures < 5 {
+        let (_, stream, _) = exchange.hear("START");
+        started(&stream, "00000000000000bb");
+    }
+    assert!(caller.hear().first.contains(end));
+    assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
+}
+
 #[test]
 fn an_answer_to_a_set_up_that_was_given_up_is_released() {
     let (exchange, _router, mut caller) = one();
