Close connections that miss the news others get, and collect releases afterwards

Set-up times stay at 40 ms, yet set-ups time out for a second and windows shut. Checked by a trace of each call and connection: an answer that never comes leaves its connection dead for all else on it, while a second one to the same exchange is told the state of the group; releases written to a connection that we had just closed (`link.rs`, heard: retired ones were closed) come only on the next one opened, and none was. A collecting connection opened in the same instant still lost five, the exchange not having noticed the close. Ruled out: clients that go away (257 to 343 CANCELs, inevitable), the callers' side (all releases confirmed). Done: idle connections stay open; one that goes without what another is told for 300 ms is closed, so its set-ups are settled; 250 ms after any end another connection is opened for the releases lost on it.

--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -16,6 +16,12 @@
 const IDLE: Duration = Duration::from_millis(1500);
 /// A line that is begun and not ended within this was cut short: lines are written in one go.
 const HALF: Duration = Duration::from_millis(400);
+/// The state of a group is told on all open connections. One that has heard nothing for the first time, and
+/// goes without what another is told for the second, is of no further use.
+const DEAF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(300));
+/// After a connection has ended its exchange may write to it for so long; what was lost that way comes on the
+/// next one opened.
+const COLLECT: Duration = Duration::from_millis(250);
 /// Connections to an exchange that is no longer listed are kept for this long, for the set-ups on them.
 const LEFT: Duration = Duration::from_secs(10);
 /// The release of a call is due 8 s after its end even if its exchange could not send it.
@@ -40,6 +46,9 @@
     quiet_since: Option<Duration>,
     /// Since when a line has been begun and not ended.
     half: Option<Duration>,
+    /// The state of the group has been told on it; and since when it has been told on others only.
+    told: bool,
+    deaf_since: Option<Duration>,
     retired: bool,
 }
 
@@ -71,6 +80,8 @@
     pause: Duration,
     /// A connection ended since the last one came up: its process may have died.
     dropped: bool,
+    /// A connection ended: releases that went to it come on the next one opened from this time on.
+    collect_at: Option<Duration>,
     tried: bool,
     /// Last word on any connection, and whether a connect was silent since.
     heard: Duration,
@@ -91,6 +102,7 @@
             next_try: Duration::ZERO,
             pause: PAUSE.0,
             dropped: false,
+            collect_at: None,
             tried: false,
             heard: Duration::ZERO,
             silent: false,
@@ -177,18 +189,23 @@
     pub fn heard(&mut self, now: Duration, id: ConnId, call: Option<&CallId>) {
         (self.heard, self.silent) = (now, false);
         let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) else { return };
-        conn.heard = now;
+        (conn.heard, conn.deaf_since) = (now, None);
         if let Some(call) = call {
             conn.set_ups.remove(call);
         }
         conn.quiet_since = (!conn.set_ups.is_empty()).then_some(now);
         conn.retired = false;
-        // The others are no longer needed once they carry nothing.
-        for other in self.conns.iter_mut().filter(|c| c.id != id && c.heard < now) {
-            other.retired = true;
-            if other.set_ups.is_empty() {
-                other.outbox.close();
-            }
+        // The others get no more set-ups. They stay open, since what ends a standing call comes on the
+        // connection of its set-up: a release that crossed a close would wait for the next one opened.
+        self.conns.iter_mut().filter(|c| c.id != id && c.heard < now).for_each(|c| c.retired = true);
+    }
+
+    /// The state of the group was told on a connection; after the first time that is news to all of them.
+    pub fn told(&mut self, now: Duration, id: ConnId) {
+        let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) else { return };
+        if std::mem::replace(&mut conn.told, true) {
+            let deaf = self.conns.iter_mut().filter(|c| c.id != id && now >= c.heard + DEAF.0);
+            deaf.for_each(|c| c.deaf_since = c.deaf_since.or(Some(now)));
         }
     }
 
@@ -199,15 +216,16 @@
         }
     }
 
-    /// Closes connections that are of no more use: cut short in the middle of a line, or to an exchange
-    /// that left the list long ago.
+    /// Closes connections that are of no more use: cut short in the middle of a line, silent while others
+    /// are told news, or to an exchange that left the list long ago.
     ///
-    /// Guards against answers that wait for ever behind one that broke off, and against connections to
-    /// machines that vanished: nothing else ever ends those.
+    /// Guards against answers and releases that wait for ever behind one that broke off or never came, and
+    /// against connections to machines that vanished: nothing else ever ends those.
     pub fn look(&self, now: Duration) {
         let left = !self.listed && now >= self.left + LEFT;
-        let cut = |c: &&Conn| c.half.is_some_and(|since| now >= since + HALF);
-        self.conns.iter().filter(|c| left || cut(c)).for_each(|c| c.outbox.close());
+        let over = |since: Option<Duration>, limit| since.is_some_and(|since| now >= since + limit);
+        let useless = |c: &&Conn| left || over(c.half, HALF) || over(c.deaf_since, DEAF.1);
+        self.conns.iter().filter(useless).for_each(|c| c.outbox.close());
     }
 
     /// Writes straight back on a connection.
@@ -220,6 +238,7 @@
     /// A connect succeeded: what was queued goes out on it.
     pub fn connected(&mut self, now: Duration, id: ConnId, outbox: Shared) {
         (self.connecting, self.dropped, self.tried, self.pause) = (false, false, true, PAUSE.0);
+        self.collect_at = self.collect_at.filter(|at| *at > now);
         (self.heard, self.silent) = (now, false);
         let mut set_ups = BTreeSet::new();
         for (call, bytes) in self.queue.drain(..) {
@@ -227,7 +246,17 @@
             set_ups.extend(call);
         }
         let quiet_since = (!set_ups.is_empty()).then_some(now);
-        self.conns.push(Conn { id, outbox, heard: now, set_ups, quiet_since, half: None, retired: false });
+        self.conns.push(Conn {
+            id,
+            outbox,
+            heard: now,
+            set_ups,
+            quiet_since,
+            half: None,
+            told: false,
+            deaf_since: None,
+            retired: false,
+        });
     }
 
     /// A connect failed; the set-ups named never ran. True: its process has ended.
@@ -249,6 +278,7 @@
     pub fn closed(&mut self, now: Duration, id: ConnId) -> Vec<CallId> {
         let Some(at) = self.conns.iter().position(|c| c.id == id) else { return Vec::new() };
         let conn = self.conns.swap_remove(at);
+        self.collect_at = Some(now + COLLECT);
         if self.conns.is_empty() {
             self.dropped = true;
             self.next_try = now;
@@ -272,14 +302,24 @@
         self.silent && now >= self.heard + OUT_OF_REACH
     }
 
+    /// Whether there is room for another connection; if not, the one heard least lately is closed.
+    pub fn make_room(&self) -> bool {
+        if self.conns.len() >= MOST {
+            let fit = self.conns.iter().filter(|c| c.outbox.is_open());
+            fit.min_by_key(|c| c.heard).into_iter().for_each(|c| c.outbox.close());
+        }
+        self.conns.len() < MOST
+    }
+
     /// Whether a connect should be made now; `missed`: calls stand there and nothing is heard of them.
     pub fn wants_connect(&self, now: Duration, missed: bool) -> bool {
         let silent = |c: &Conn| c.quiet_since.is_some_and(|since| now >= since + self.silence);
         // Guards against a machine that vanished and came back: its old connections stay open and silent.
-        let useless = missed || self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
+        let collect = self.collect_at.is_some_and(|at| now >= at);
+        let useless =
+            missed || collect || self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
         // A call's release comes on the next connection opened, so drains and losses keep a link wanted.
-        let wanted = self.listed && useless && !self.connecting;
-        wanted && self.conns.len() < MOST && now >= self.next_try
+        self.listed && useless && !self.connecting && now >= self.next_try
     }
 
     /// What became of a set-up whose connection ended or never came up.
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -509,6 +509,9 @@
         let answers = matches!(line.verb.as_str(), "STARTED" | "FINISH");
         let Some(link) = self.links.get_mut(exchange) else { return };
         link.heard(now, conn, answers.then_some(&id));
+        if line.verb == "LOAD" {
+            link.told(now, conn);
+        }
         let report = line.load.as_deref().map(|load| self.report(load)).unwrap_or_default();
         match line.verb.as_str() {
             "LOAD" => self.core.report(now, exchange, report),
@@ -558,7 +561,7 @@
             self.core.cut(now, exchange);
             return self.flush();
         }
-        if !link.wants_connect(now, missed) {
+        if !link.wants_connect(now, missed) || !link.make_room() {
             return;
         }
         link.connecting = true;
