Refuse a set-up that ended unanswered instead of repeating it; keep back no refusal

Checked by the trace of such a call: set-up; 0.40 s later FINISH 16 with no answer before it; sent again 0.66 s after that, answered and told to its caller; the first answer came late; the call ended and was released 1.06 s after the first FINISH, of which the caller had not been told within its second. Ruled out: deaf connections (the call used one that was alive throughout), the callers' side. At fault: `platform.rs`, end_of, took cause 16 before an answer for a withdrawn set-up, and the module repeated it. Done: it counts as ended; the module refuses it at once. So does a call that its destination has no circuit for and that no way leads round: it used to wait for its deadline.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -469,8 +469,7 @@
             return;
         }
         let (id, deadline) = (offer.call.clone(), self.now + offer.remaining.as_secs_f64());
-        let number = offer.class.min(self.set.classes.len() - 1);
-        let dialled = self.first_dialled(&offer);
+        let (number, dialled) = (offer.class.min(self.set.classes.len() - 1), self.first_dialled(&offer));
         let class = &self.set.classes[number];
         let aim = class.aim.as_secs_f64();
         let held_until = if offer.transit { self.now } else { deadline - 2.0 * self.set.tick.as_secs_f64() };
@@ -562,8 +561,7 @@
         let reachable = reachable && self.machine_of(call.offer.dest).is_some();
         let rests = self.busy.get(&call.offer.number).is_some_and(|(_, until)| self.now < *until);
         let own = call.offer.transit || (!rests && self.own_window.is_open(self.now, late));
-        let quota = call.attempts > 0 || self.own.has_room();
-        if (reachable || self.here().is_none()) && own && quota {
+        if (reachable || self.here().is_none()) && own && (call.attempts > 0 || self.own.has_room()) {
             self.route(id, out);
         } else if self.now >= call.held_until {
             self.refuse(id, out);
@@ -599,7 +597,7 @@
             }
         }
         let spent = self.calls.get(id).is_some_and(|c| c.attempts >= self.set.limits.max_attempts);
-        if transit || spent || self.now >= held_until {
+        if transit || spent || (!pools && tried.contains(&dest)) || self.now >= held_until {
             self.refuse(id, out);
         }
     }
@@ -808,7 +806,9 @@
             call.guard_until = call.guard_until.max(self.now + CYCLE);
         }
         let guard_until = call.guard_until;
-        let given_up = call.doubtful || call.attempts >= self.set.limits.max_attempts;
+        // One that ended unanswered has run its course: its answer was lost, and may still come.
+        let over = outcome.status == Status::Ended || call.doubtful;
+        let given_up = over || call.attempts >= self.set.limits.max_attempts;
         if call.offer.transit || given_up || guard_until >= call.held_until {
             self.refuse(&outcome.call, out);
         } else if guard_until > self.now {
--- a/src/wire/platform.rs
+++ b/src/wire/platform.rs
@@ -745,7 +745,9 @@
         (_, true) => Status::Ended,
         (Some(34), false) => Status::Full,
         (Some(102), false) => Status::Moot,
-        (Some(16), false) => Status::Cancelled,
+        // Guards against repeating what ran: the call stood there and came to its end, and its answer was lost.
+        // (What is given up here is settled at once, and is no longer open when its end is heard of.)
+        (Some(16), false) => Status::Ended,
         _ => Status::Error,
     }
 }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -110,6 +110,32 @@
     assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
 }
 
+/// Guards against telling a caller of a call that is over already: its answer was lost, and comes late.
+#[test]
+fn a_call_that_ends_before_its_answer_came_is_refused_at_once_and_not_repeated() {
+    let (exchange, _router, mut caller) = one();
+    caller.invite("00000000000000bc", 1, 1500);
+    let (_, stream, _) = exchange.hear("START");
+    let begun = Instant::now();
+    finish(&stream, "00000000000000bc", 16, "");
+    assert!(caller.hear().first.contains(" 503 ") && begun.elapsed() < SLACK);
+    started(&stream, "00000000000000bc");
+    assert_eq!(exchange.hear("FINISH").0["tag"], "00000000000000bc");
+    assert!(exchange.heard_within("START", Duration::from_millis(600)).is_none(), "it was repeated");
+    assert!(caller.within(Duration::from_millis(100)).is_none(), "a second answer");
+}
+
+/// Guards against a refusal kept back though nothing can come of the call any more.
+#[test]
+fn a_call_that_its_destination_has_no_circuit_for_and_no_way_round_is_refused_at_once() {
+    let (exchange, _router, mut caller) = one();
+    caller.invite("00000000000000bd", 1, 3000);
+    let (_, stream, _) = exchange.hear("START");
+    let begun = Instant::now();
+    finish(&stream, "00000000000000bd", 34, "group_full");
+    assert!(caller.hear().first.contains(" 503 ") && begun.elapsed() < SLACK);
+}
+
 #[test]
 fn an_answer_to_a_set_up_that_was_given_up_is_released() {
     let (exchange, _router, mut caller) = one();
