--- a/src/wire/dns.rs
+++ b/src/wire/dns.rs
@@ -306,6 +306,13 @@
     out
 }
 
+/// A message as it goes over TCP, its length first (RFC 1035, 4.2.2).
+pub fn framed(message: &[u8]) -> Vec<u8> {
+    let mut out = (message.len() as u16).to_be_bytes().to_vec();
+    out.extend_from_slice(message);
+    out
+}
+
 /// Whether a query is one that is served, or with which code it is answered.
 ///
 /// # Errors
--- a/src/wire/enumeration.rs
+++ b/src/wire/enumeration.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use slog::{debug, info, warn, Logger};
-use tokio::net::UdpSocket;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
@@ -355,16 +356,49 @@
     Unreachable,
 }
 
-/// One query and its reply: from a port of its own, with a random id; anything else that arrives there
-/// is passed over, since anyone can send it.
+fn random_id() -> Result<u16, Failed> {
+    let mut id = [0; 2];
+    getrandom::fill(&mut id).map_err(|_| Failed::Unreachable)?;
+    Ok(u16::from_be_bytes(id))
+}
+
+/// Whether a message answers a query.
+fn answers(reply: &Message, id: u16, name: &Name) -> bool {
+    let question = reply.question.as_ref();
+    let same = question.is_some_and(|(n, kind, class)| n == name && (*kind, *class) == (dns::NAPTR, 1));
+    reply.response && reply.opcode == 0 && reply.id == id && same
+}
+
+/// One query and its reply. What does not fit a datagram is asked for again over TCP (RFC 7766); if that
+/// fails, the reply stays cut.
 async fn ask(upstream: SocketAddr, name: &Name) -> Result<Message, Failed> {
+    let reply = ask_by_datagram(upstream, name).await?;
+    if !reply.truncated {
+        return Ok(reply);
+    }
+    Ok(ask_by_stream(upstream, name).await.unwrap_or(reply))
+}
+
+async fn ask_by_stream(upstream: SocketAddr, name: &Name) -> Result<Message, Failed> {
+    let unreachable = |_: io::Error| Failed::Unreachable;
+    let mut stream = TcpStream::connect(upstream).await.map_err(unreachable)?;
+    let id = random_id()?;
+    stream.write_all(&dns::framed(&dns::query(id, name))).await.map_err(unreachable)?;
+    // The length is two bytes, so what is read is bounded.
+    let length = stream.read_u16().await.map_err(unreachable)?;
+    let mut bytes = vec![0; usize::from(length)];
+    stream.read_exact(&mut bytes).await.map_err(unreachable)?;
+    dns::read(&bytes).filter(|reply| answers(reply, id, name)).ok_or(Failed::Unreachable)
+}
+
+/// From a port of its own, with a random id; anything else that arrives there is passed over, since anyone
+/// can send it.
+async fn ask_by_datagram(upstream: SocketAddr, name: &Name) -> Result<Message, Failed> {
     let local: SocketAddr = if upstream.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
     let unreachable = |_: io::Error| Failed::Unreachable;
     let socket = UdpSocket::bind(local).await.map_err(unreachable)?;
     socket.connect(upstream).await.map_err(unreachable)?;
-    let mut id = [0; 2];
-    getrandom::fill(&mut id).map_err(|_| Failed::Unreachable)?;
-    let id = u16::from_be_bytes(id);
+    let id = random_id()?;
     socket.send(&dns::query(id, name)).await.map_err(unreachable)?;
     let mut buffer = [0; DATAGRAM];
     loop {
@@ -372,9 +406,7 @@
         // Guards against waiting out a reply that came and was spoilt: another server is asked at once.
         let reply = dns::read(&buffer[..length]).or_else(|| dns::read_spoilt(&buffer[..length]));
         let Some(reply) = reply else { continue };
-        let question = reply.question.as_ref();
-        let same = question.is_some_and(|(n, kind, class)| n == name && (*kind, *class) == (dns::NAPTR, 1));
-        if reply.response && reply.opcode == 0 && reply.id == id && same {
+        if answers(&reply, id, name) {
             return Ok(reply);
         }
     }
--- a/tests/enumeration.rs
+++ b/tests/enumeration.rs
@@ -4,7 +4,8 @@
 mod stand;
 
 use std::collections::{BTreeMap, HashSet};
-use std::net::{SocketAddr, UdpSocket};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -158,6 +159,49 @@
     assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
 }
 
+/// A server that cuts its datagrams and gives the whole answer over TCP, as `spoil` leaves it.
+fn server_over_tcp(spoil: fn(Vec<u8>) -> Vec<u8>) -> SocketAddr {
+    // The port of the datagrams may be taken for TCP: then with another one.
+    let both = std::iter::repeat_with(|| server(|_| Does::Raw(truncated)));
+    let (address, listener) = both.filter_map(|a| Some((a, TcpListener::bind(a).ok()?))).next().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut length = [0; 2];
+            stream.read_exact(&mut length).unwrap();
+            let mut query = vec![0; usize::from(u16::from_be_bytes(length))];
+            stream.read_exact(&mut query).unwrap();
+            let mut query = dns::read(&query).unwrap();
+            query.room = 60_000;
+            let records: Vec<Naptr> = (0..40).map(|_| to_place(1)).collect();
+            let _ = stream.write_all(&spoil(dns::framed(&dns::response(&query, 0, &records))));
+        }
+    });
+    address
+}
+
+/// Guards against numbers with many records, which fit no datagram, and against what is cut again over TCP.
+#[rstest]
+#[case::whole(|bytes: Vec<u8>| bytes, " 200 ")]
+#[case::cut_off(|bytes: Vec<u8>| bytes[..100].to_vec(), " 503 ")]
+#[case::another_id(|mut bytes: Vec<u8>| { bytes[2] ^= 1; bytes }, " 503 ")]
+fn an_answer_that_fits_no_datagram_is_fetched_over_tcp(
+    #[case] spoil: fn(Vec<u8>) -> Vec<u8>,
+    #[case] answer: &str,
+) {
+    let exchange = Exchange::start();
+    let mut config = with_enum(&[exchange.address], &[server_over_tcp(spoil)], &json!({"attempts": 1}));
+    config["enum"]["listen"] = Value::Null;
+    let router = Router::start(&config);
+    let mut caller = router.caller();
+    caller.ready();
+    caller.request("INVITE", "00000000000000a7", "X-Call-Class: voice\r\nX-Ring-Limit: 3000\r\n", BODY);
+    if answer == " 200 " {
+        let (_, stream, _) = exchange.hear("START");
+        started(&stream, "00000000000000a7");
+    }
+    assert!(caller.hear().first.contains(answer));
+}
+
 /// A reload changes the servers; a look-up in hand at one that is no longer named comes to its end there.
 #[test]
 fn a_reload_changes_the_upstream_servers_and_look_ups_in_hand_go_on() {
