--- a/src/choice.rs
+++ b/src/choice.rs
@@ -509,8 +509,7 @@
 
     /// Whether a call sent now would stand only after its aim, going by recent set-up times there.
     fn is_late(&self, call: &Call) -> bool {
-        let setup = self.far.get(&call.offer.dest).map_or(0.0, |f| f.setup);
-        self.now + setup > call.dialled + call.aim
+        self.now + self.far.get(&call.offer.dest).map_or(0.0, |f| f.setup) > call.dialled + call.aim
     }
 
     /// The number answered busy (its rest doubles) or took a call (its rest is over).
@@ -747,15 +746,14 @@
         self.read_report(&outcome.exchange, &outcome.report, false);
         let Some(call) = self.calls.get_mut(&outcome.call) else { return };
         let Some(attempt) = call.out.take_if(|_| outcome.seq + 1 == call.attempts) else { return };
-        if matches!(outcome.status, Status::Moot | Status::Error) {
-            // The other end took the last circuit first, or one set-up failed: the way itself stays open.
+        if outcome.status == Status::Moot {
+            // The other end took the last circuit first: the way itself stays open to this call.
             call.tried.retain(|p| *p != attempt.place);
             if matches!(outcome.cause, Some(Cause::ProcessorFull(_))) {
                 // The own processor is down: half a window, so one trial a cycle and no other call is spent.
                 self.own_window.size = self.own_window.size.min(0.5);
-            } else if outcome.status == Status::Moot {
-                let far = self.far.entry(attempt.place).or_default();
-                far.free = far.free.map(|_| 0.0);
+            } else if let Some(far) = self.far.get_mut(&attempt.place).filter(|f| f.free.is_some()) {
+                far.free = Some(0.0);
             }
         }
         let (stood, dest) = (std::mem::take(&mut call.stands), call.offer.dest);
@@ -801,9 +799,11 @@
         }
         let safe = self.set.classes[call.class].effect == Effect::Safe;
         call.doubtful |= !safe && (guarded || outcome.status == Status::Error);
-        if matches!(outcome.cause, Some(Cause::TurnedBackFull | Cause::ProcessorFull(_) | Cause::LinesBusy)) {
+        let full = matches!(outcome.cause, Some(Cause::TurnedBackFull | Cause::ProcessorFull(_)));
+        if full || outcome.status == Status::Error {
             // No way leads round a full processor or busy lines; what merely failed goes again in time.
-            call.guard_until = call.guard_until.max(self.now + CYCLE);
+            let pause = if full || outcome.cause == Some(Cause::LinesBusy) { CYCLE } else { call.aim / 40.0 };
+            call.guard_until = call.guard_until.max(self.now + pause);
         }
         let guard_until = call.guard_until;
         // One that ended unanswered has run its course: its answer was lost, and may still come.
