--- a/src/choice.rs
+++ b/src/choice.rs
@@ -595,8 +595,8 @@
                 return;
             }
         }
-        let spent = self.calls.get(id).is_some_and(|c| c.attempts >= self.set.limits.max_attempts);
-        if transit || spent || (!pools && tried.contains(&dest)) || self.now >= held_until {
+        let stuck = !pools && tried.contains(&dest) && tried.len() + 1 >= self.far.len().min(TANDEMS + 2);
+        if transit || stuck || self.now >= held_until {
             self.refuse(id, out);
         }
     }
