--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,23 +37,27 @@
 /// A set-up that stands within this part of its aim lets the window grow; beyond the second it shrinks.
 const EASY: f64 = 0.2;
 const PRESSED: f64 = 0.4;
-/// Longest gap between trials of a processor whose window is shut, s.
-const TRIAL: f64 = 3.0;
+/// A spell, in aims, and the longest, s: how often silence is watched, a window shrinks on failures, and
+/// what is full is tried again.
+///
+/// Guards against a processor that is back but left alone for several aims, as its next trial is not due.
+const SPELL: (f64, f64) = (0.25, 0.5);
+/// Longest gap between trials of a processor whose window is shut, in spells.
+const TRIAL: f64 = 6.0;
 /// Shrinking of a window on a slow answer, and on a failure or silence.
 const SLOWER: f64 = 0.7;
 const FAILED: f64 = 0.5;
-/// After a crank-back a tandem is left out for that destination: first and longest, s.
-const CRANKED: (f64, f64) = (3.0, 24.0);
-/// Share of lost set-ups above which overdue ones are called off.
+/// After a crank-back a tandem is left out for that destination: first and longest, in spells.
+const CRANKED: (f64, f64) = (6.0, 48.0);
+/// A set-up out for so many usual set-up times is taken for lost; above a share of such, they are called off.
 const LOSSY: f64 = 0.04;
-/// A set-up that is out for so many usual set-up times is taken for lost.
 const LOST_AFTER: f64 = 3.0;
-/// A number found busy rests: first and longest rest in s, and how many numbers are remembered.
-const REST: (f64, f64) = (0.5, 4.0);
+/// A number found busy rests: first and longest rest in spells, and how many numbers are remembered.
+const REST: (f64, f64) = (1.0, 8.0);
 const NUMBERS: usize = 256;
 /// A reported allowance under the first part of its usual best tells of pressure, over the second of ease.
+/// That best is slowly forgotten, by so much per report.
 const ALLOWED: (f64, f64) = (0.25, 0.5);
-/// Forgetting of that best, per report.
 const BEST_DECAY: f64 = 0.002;
 
 /// Smoothing of set-up times, per answer: of one place, and over all places (losses too).
@@ -109,9 +113,7 @@
     pub fn note(&mut self, delay_in_aims: f64) {
         self.ended += 1.0;
         self.delays += delay_in_aims;
-        if delay_in_aims <= 1.0 {
-            self.within += 1.0;
-        }
+        self.within += f64::from(u8::from(delay_in_aims <= 1.0));
     }
 
     /// Ends a learning period: λs down to 0.9 of what stood in time, or up a tenth.
@@ -168,9 +170,9 @@
         self.out + 1.0 <= room && (self.size >= 1.0 || now >= self.open_at)
     }
 
-    fn answered(&mut self, took: f64, now: f64) {
+    fn answered(&mut self, took: f64, now: f64, trial: f64) {
         self.out = (self.out - 1.0).max(0.0);
-        self.open_at = now + (took * (1.0 / self.size - 1.0)).clamp(0.0, TRIAL);
+        self.open_at = now + (took * (1.0 / self.size - 1.0)).clamp(0.0, trial);
     }
 
     fn stood(&mut self, delay: f64, now: f64, spell: f64) {
@@ -256,6 +258,9 @@
 #[derive(Debug)]
 pub struct Controller {
     set: Settings,
+    /// Shortest aim, and the length of a spell, s.
+    aim: f64,
+    spell: f64,
     rng: fastrand::Rng,
     now: f64,
     cycle_end: f64,
@@ -295,8 +300,11 @@
             return Err(SettingsError("no fleet, no classes, or a class with no aim or no worth"));
         }
         let now = now.as_secs_f64();
+        let aim = settings.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
         Ok(Self {
             set: settings,
+            aim,
+            spell: (SPELL.0 * aim).min(SPELL.1),
             rng: fastrand::Rng::with_seed(seed),
             now,
             cycle_end: now + CYCLE,
@@ -326,10 +334,8 @@
         self.now = self.now.max(now.as_secs_f64());
         if !self.started {
             self.started = true;
-            out.push(Action::Timer { after: Duration::from_secs_f64(CYCLE), token: CYCLE_TOKEN });
-            if self.set.registry_asks {
-                out.push(Action::Watch);
-            }
+            out.push(Action::Timer { after: Duration::from_secs_f64(self.spell), token: CYCLE_TOKEN });
+            out.extend(self.set.registry_asks.then_some(Action::Watch));
         }
         match event {
             Event::Directory { kind, entries } => self.on_directory(kind, &entries),
@@ -349,13 +355,12 @@
             }
             Event::Peer { .. } => {}
             Event::Timer(CYCLE_TOKEN) => {
-                self.end_cycles();
+                self.watch_silence();
+                let again = self.end_cycles() && std::mem::take(&mut self.ask_again);
+                out.extend(again.then_some(Action::Watch));
                 self.tell_changes(out);
-                if std::mem::take(&mut self.ask_again) {
-                    out.push(Action::Watch);
-                }
                 self.release(out);
-                out.push(Action::Timer { after: Duration::from_secs_f64(CYCLE), token: CYCLE_TOKEN });
+                out.push(Action::Timer { after: Duration::from_secs_f64(self.spell), token: CYCLE_TOKEN });
             }
             Event::Timer(token) => {
                 if let Some(call) = self.waiting.remove(&token) {
@@ -365,7 +370,9 @@
         }
     }
 
-    fn end_cycles(&mut self) {
+    /// Ends the cycles that are over; false if none is.
+    fn end_cycles(&mut self) -> bool {
+        let before = self.cycles;
         while self.cycle_end <= self.now + 1e-6 {
             self.cycle_end += CYCLE;
             self.cycles += 1;
@@ -373,17 +380,18 @@
                 self.own.end_period();
             }
             self.own.end_cycle();
-            self.busy.retain(|_, (_, until)| self.now < *until + 2.0 * REST.1);
+            self.busy.retain(|_, (_, until)| self.now < *until + 2.0 * REST.1 * self.spell);
             let longest = self.set.classes.iter().map(|c| c.deadline.as_secs_f64()).fold(0.0, f64::max);
             self.redials.retain(|_, first| self.now < *first + longest);
-            self.watch_silence();
         }
+        self.cycles > before
     }
 
     fn here(&self) -> Option<Place> {
-        match self.set.topology {
-            Topology::Meshed(place) => Some(place),
-            Topology::Groups => None,
+        if let Topology::Meshed(place) = self.set.topology {
+            Some(place)
+        } else {
+            None
         }
     }
 
@@ -394,11 +402,8 @@
             self.ask_again = true; // at the end of a cycle, so that a refusing registry is not flooded
             return;
         }
-        if kind != ListKind::Changes {
-            for machine in self.machines.values_mut() {
-                machine.health = Health::Gone;
-            }
-        }
+        let unnamed = self.machines.values_mut().filter(|_| kind != ListKind::Changes);
+        unnamed.for_each(|m| m.health = Health::Gone);
         for entry in entries.iter() {
             let warm_at = entry.up_since.map_or(0.0, |t| (t + self.set.contract.cold).as_secs_f64());
             let machine = self.machines.entry(entry.exchange.clone()).or_insert_with(|| Machine {
@@ -424,11 +429,10 @@
     fn read_report(&mut self, exchange: &ExchangeId, report: &[f64], told: bool) {
         let Some(place) = self.machines.get(exchange).map(|m| m.place) else { return };
         let far = self.far.entry(place).or_default();
-        let aim = self.set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
         for (gauge, value) in self.set.gauges.iter().zip(report).filter(|(_, v)| **v >= 0.0) {
             // Strain told by the processor itself: pressed above one, at ease below zero.
             let strain = match gauge {
-                Gauge::WaitMs => (value / 1000.0 / aim - EASY) / (PRESSED - EASY),
+                Gauge::WaitMs => (value / 1000.0 / self.aim - EASY) / (PRESSED - EASY),
                 Gauge::Allowed => {
                     far.best_allowed = far.best_allowed.max(*value) * (1.0 - BEST_DECAY);
                     (ALLOWED.1 * far.best_allowed - value) / ((ALLOWED.1 - ALLOWED.0) * far.best_allowed)
@@ -437,7 +441,7 @@
                 _ => 0.5,
             };
             if strain > 1.0 {
-                far.window.shrink(FAILED, self.now, CYCLE);
+                far.window.shrink(FAILED, self.now, self.spell);
             } else if strain < 0.0 && far.window.out < 1.0 {
                 far.window.size = far.window.size.max(1.0);
             }
@@ -521,7 +525,8 @@
         if !busy {
             self.busy.remove(number);
         } else if self.busy.len() < NUMBERS || self.busy.contains_key(number) {
-            let rest = self.busy.get(number).map_or(REST.0, |(rest, _)| (2.0 * rest).min(REST.1));
+            let (first, longest) = (REST.0 * self.spell, REST.1 * self.spell);
+            let rest = self.busy.get(number).map_or(first, |(rest, _)| (2.0 * rest).min(longest));
             self.busy.insert(number.clone(), (rest, self.now + rest));
         }
     }
@@ -645,9 +650,7 @@
             return false;
         }
         call.out = Some(Attempt { place, at: self.now, counted: true, overdue: false, excused: false });
-        if call.attempts == 0 {
-            self.own.accepted += 1.0;
-        }
+        self.own.accepted += f64::from(u8::from(call.attempts == 0));
         call.attempts += 1;
         call.tried.push(place);
         let until = Duration::from_secs_f64(call.deadline);
@@ -682,13 +685,10 @@
     fn refuse(&mut self, id: &CallId, out: &mut Vec<Action>) {
         let Some(call) = self.calls.remove(id) else { return };
         self.expect_redial(&call);
-        if call.doubtful {
-            out.push(Action::Fail(id.clone()));
-        } else {
-            // The later the redial, the better for the processors.
-            let stay_away = self.set.limits.retry_after.then_some(self.set.limits.max_retry_after);
-            out.push(Action::Refuse { call: id.clone(), stay_away });
-        }
+        // The later the redial, the better for the processors.
+        let stay_away = self.set.limits.retry_after.then_some(self.set.limits.max_retry_after);
+        let refusal = Action::Refuse { call: id.clone(), stay_away };
+        out.push(if call.doubtful { Action::Fail(id.clone()) } else { refusal });
     }
 
     fn expect_redial(&mut self, call: &Call) {
@@ -706,9 +706,9 @@
 
     /// A set-up is answered, one way or other: it leaves the windows.
     fn answered(&mut self, place: Place, took: f64) {
-        self.own_window.answered(took, self.now);
+        self.own_window.answered(took, self.now, TRIAL * self.spell);
         if let Some(far) = self.far.get_mut(&place) {
-            far.window.answered(took, self.now);
+            far.window.answered(took, self.now, TRIAL * self.spell);
         }
     }
 
@@ -763,7 +763,7 @@
             let full = matches!(outcome.cause, Some(Cause::ProcessorFull(_)));
             let failed = outcome.status != Status::Full || full;
             if attempt.counted {
-                self.answered(attempt.place, if failed { took.max(CYCLE) } else { took });
+                self.answered(attempt.place, if failed { took.max(self.spell) } else { took });
             }
             // Whose fault: the processor sent to, or with a tandem that turned back the one beyond it.
             let blamed = match (outcome.status, outcome.cause) {
@@ -774,11 +774,11 @@
                 _ => None,
             };
             if let Some(far) = blamed.and_then(|place| self.far.get_mut(&place)) {
-                far.window.shrink(FAILED, self.now, CYCLE);
+                far.window.shrink(FAILED, self.now, self.spell);
             }
             if matches!(outcome.cause, Some(Cause::TurnedBack | Cause::TurnedBackFull)) {
                 let way = self.far.entry(dest).or_default().ways.entry(attempt.place).or_default();
-                let rest = (2.0 * way.0).clamp(CRANKED.0, CRANKED.1);
+                let rest = (2.0 * way.0).clamp(CRANKED.0 * self.spell, CRANKED.1 * self.spell);
                 *way = (rest, self.now + rest);
             }
             if outcome.status == Status::TimedOut {
@@ -802,7 +802,8 @@
         let full = matches!(outcome.cause, Some(Cause::TurnedBackFull | Cause::ProcessorFull(_)));
         if full || outcome.status == Status::Error {
             // No way leads round a full processor or busy lines; what merely failed goes again in time.
-            let pause = if full || outcome.cause == Some(Cause::LinesBusy) { CYCLE } else { call.aim / 40.0 };
+            let busy = full || outcome.cause == Some(Cause::LinesBusy);
+            let pause = if busy { self.spell } else { call.aim / 40.0 };
             call.guard_until = call.guard_until.max(self.now + pause);
         }
         let guard_until = call.guard_until;
@@ -827,8 +828,7 @@
     /// Guards against lost answers and lost signalling; should cover a single stuck line too. Harm: a
     /// processor that has just become slow gets some set-ups twice.
     fn call_off(&mut self, id: &CallId, out: &mut Vec<Action>) {
-        let call = self.calls.get_mut(id).filter(|c| !c.stands && !c.offer.transit);
-        let Some(call) = call else { return };
+        let Some(call) = self.calls.get_mut(id).filter(|c| !c.stands && !c.offer.transit) else { return };
         let safe = self.set.classes[call.class].effect == Effect::Safe;
         let Some(attempt) = call.out.as_mut().filter(|a| a.counted) else { return };
         let Some(far) = self.far.get_mut(&attempt.place) else { return };
@@ -857,7 +857,7 @@
             if age > PRESSED * aim && !attempt.excused {
                 silent.insert(attempt.place);
                 if let Some(far) = self.far.get_mut(&attempt.place) {
-                    far.window.shrink(FAILED, self.now, CYCLE);
+                    far.window.shrink(FAILED, self.now, self.spell);
                 }
             }
             // Past the aim it is given up for the windows, so that a trial can go to a silent processor.
@@ -866,8 +866,8 @@
             }
         }
         // Silence from several places and ease from none is the own processor's.
-        if silent.len() > 1 && self.now > self.easy_at + 2.0 * CYCLE {
-            self.own_window.shrink(FAILED, self.now, CYCLE);
+        if silent.len() > 1 && self.now > self.easy_at + 2.0 * self.spell {
+            self.own_window.shrink(FAILED, self.now, self.spell);
         }
         lost.into_iter().for_each(|(place, age)| self.answered(place, age));
     }
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -54,6 +54,27 @@
     assert!((4..=20).contains(&silent), "{silent} set-ups in 12 s to an exchange that never answers");
 }
 
+/// Guards against a processor that is back but left alone: with aims of half a second a trial every three
+/// seconds costs it and its callers several aims.
+#[test]
+fn trials_of_a_silent_exchange_come_as_often_as_short_aims_ask() {
+    let mut quick = settings(3);
+    quick.classes.iter_mut().for_each(|c| c.aim = ms(500));
+    let mut net = Net::new(quick, 1);
+    drive(&mut net, 1, 120, ms(50), None);
+    let mut tried = Vec::new();
+    for _ in 0..120 {
+        let before = sends_to(&net.log, 1);
+        drive(&mut net, 1, 1, ms(50), None);
+        if sends_to(&net.log, 1) > before {
+            tried.push(net.now);
+        }
+    }
+    let longest = tried.windows(2).map(|pair| pair[1] - pair[0]).max().expect("two trials at least");
+    assert!(longest < ms(1500), "{longest:?} between two trials");
+    assert!(tried.len() < 12, "{} trials in 6 s", tried.len());
+}
+
 #[test]
 fn after_silence_one_easy_answer_opens_the_route_again() {
     let mut net = Net::new(settings(3), 1);
