--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,10 +26,9 @@
 const TRANSITION: f64 = 1.1;
 /// Part of the cold budget used: the rest is slack for repeats and for what is in flight.
 const COLD_MARGIN: f64 = 0.9;
-/// Circuits kept free on a tandem's first leg: at rest, and for each unit of recent blocking.
+/// Circuits kept free on a tandem's first leg: at rest, and for each unit of blocking; its smoothing per try.
 const RESERVE_BASE: f64 = 1.0;
 const RESERVE_GAIN: f64 = 10.0;
-/// Smoothing of direct blocking, per direct try.
 const BLOCKING_STEP: f64 = 0.1;
 /// Set-ups out toward one processor: first allowance, least and most.
 /// (Below one: after each answer the next set-up waits, so that the mean is kept.)
@@ -37,8 +36,7 @@
 /// A set-up that stands within this part of its aim lets the window grow; beyond the second it shrinks.
 const EASY: f64 = 0.2;
 const PRESSED: f64 = 0.4;
-/// A spell, in aims, and the longest, s: how often silence is watched, a window shrinks on failures, and
-/// what is full is tried again.
+/// A spell, in aims, and the longest, s: for silence, for failures and before what is full is tried again.
 ///
 /// Guards against a processor that is back but left alone for several aims, as its next trial is not due.
 const SPELL: (f64, f64) = (0.25, 0.5);
@@ -475,13 +473,12 @@
         let (id, deadline) = (offer.call.clone(), self.now + offer.remaining.as_secs_f64());
         let (number, dialled) = (offer.class.min(self.set.classes.len() - 1), self.first_dialled(&offer));
         let class = &self.set.classes[number];
-        let aim = class.aim.as_secs_f64();
         let held_until = if offer.transit { self.now } else { deadline - 2.0 * self.set.tick.as_secs_f64() };
         let call = Call {
             class: number,
             width: f64::from(offer.width.unwrap_or(class.width).max(1)),
             deadline,
-            aim,
+            aim: class.aim.as_secs_f64(),
             dialled,
             held_until,
             attempts: 0,
@@ -576,7 +573,7 @@
     fn route(&mut self, id: &CallId, out: &mut Vec<Action>) {
         let late = self.calls.get(id).is_some_and(|c| self.is_late(c));
         let Some(call) = self.calls.get_mut(id) else { return };
-        let (dest, width, transit, held_until) =
+        let (dest, width, transit, until) =
             (call.offer.dest, call.width, call.offer.transit, call.held_until);
         let (first, tried) = (!std::mem::replace(&mut call.weighed, true), call.tried.clone());
         let pools = self.here().is_none();
@@ -601,7 +598,7 @@
             }
         }
         let stuck = !pools && tried.contains(&dest) && tried.len() + 1 >= self.far.len().min(TANDEMS + 2);
-        if transit || stuck || self.now >= held_until {
+        if transit || stuck || self.now >= until {
             self.refuse(id, out);
         }
     }
@@ -673,9 +670,12 @@
     fn cold_room(&mut self, exchange: &ExchangeId) -> bool {
         let contract = &self.set.contract;
         let window = contract.fall.as_secs_f64();
-        let fleet = contract.fall_multiple * contract.cold_from * self.own.x.max(FLOOR) * window;
-        let budget = COLD_MARGIN * fleet / f64::from(self.set.fleet_size);
         let Some(machine) = self.machines.get_mut(exchange) else { return false };
+        // Its capacity grows until it is warm; the manner is not told, taken for even.
+        let left = ((machine.warm_at - self.now) / contract.cold.as_secs_f64()).clamp(0.0, 1.0);
+        let capacity = (1.0 - left * (1.0 - contract.cold_from)) * self.own.x.max(FLOOR);
+        let budget =
+            COLD_MARGIN * contract.fall_multiple * capacity * window / f64::from(self.set.fleet_size);
         // A share of less than one set-up: one in as many windows as make it up.
         machine.cold_sends.retain(|t| *t > self.now - window / budget.min(1.0));
         (machine.cold_sends.len() as f64) + 1.0 <= budget.max(1.0)
