--- a/src/choice.rs
+++ b/src/choice.rs
@@ -543,9 +543,7 @@
         let mut held: Vec<_> = held.map(|(id, c)| (self.value(c), c.dialled + c.aim, id.clone())).collect();
         // Of equal worth the newest goes first: it has most of its aim left.
         held.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1)));
-        for (_, _, id) in held {
-            self.consider(&id, out);
-        }
+        held.into_iter().for_each(|(_, _, id)| self.consider(&id, out));
     }
 
     /// Routes a call if its destination and the own processor can take it; else it is held, and
@@ -576,7 +574,9 @@
         let (dest, width, transit, until) =
             (call.offer.dest, call.width, call.offer.transit, call.held_until);
         let (first, tried) = (!std::mem::replace(&mut call.weighed, true), call.tried.clone());
-        let pools = self.here().is_none();
+        // Guards the calls of a router that is down: the front hands them to others, to the destination's own
+        // too, and from there only another exchange leads to it.
+        let (pools, own) = (self.here().is_none(), self.here() == Some(dest));
         let far = self.far.entry(dest).or_default();
         let blocked = far.free.is_some_and(|f| f < width);
         if first {
@@ -586,7 +586,7 @@
         let kept = width + RESERVE_BASE + RESERVE_GAIN * far.blocking;
         let short = late && !transit && far.free.is_some_and(|f| f < kept);
         let shut = pools && !far.window.is_open(self.now, late);
-        let elsewhere = blocked || shut || tried.contains(&dest);
+        let elsewhere = own || blocked || shut || tried.contains(&dest);
         if !elsewhere && !short && self.send(id, dest, out) {
             return;
         }
@@ -597,15 +597,16 @@
                 return;
             }
         }
-        let stuck = !pools && tried.contains(&dest) && tried.len() + 1 >= self.far.len().min(TANDEMS + 2);
+        let ways = self.far.len().min(TANDEMS + 2 - usize::from(own));
+        let stuck = !pools && (own || tried.contains(&dest)) && tried.len() + 1 >= ways;
         if transit || stuck || self.now >= until {
             self.refuse(id, out);
         }
     }
 
     fn tandems(&self, id: &CallId, tried: &[Place]) -> Vec<Place> {
-        let Some(call) = self.calls.get(id) else { return Vec::new() };
-        let Some(dest) = self.far.get(&call.offer.dest) else { return Vec::new() };
+        let dest = self.calls.get(id).and_then(|c| self.far.get(&c.offer.dest).map(|d| (c, d)));
+        let Some((call, dest)) = dest else { return Vec::new() };
         if tried.iter().filter(|p| **p != call.offer.dest).count() >= TANDEMS {
             return Vec::new();
         }
@@ -887,8 +888,7 @@
             let what = if pressed { "pressed, set-ups held" } else { "at ease again" };
             lines.push(format!("own processor {what}"));
         }
-        if self.own.safe != self.told_safe {
-            self.told_safe = self.own.safe;
+        if std::mem::replace(&mut self.told_safe, self.own.safe) != self.own.safe {
             lines.extend(self.own.safe.map(|safe| format!("safe rate set to {safe:.1} a second")));
         }
         let room = LOG_LINES - self.logged.min(LOG_LINES);
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -184,6 +184,19 @@
     assert_eq!(net.out(&call), None, "the last circuits of the first leg are kept");
 }
 
+/// Guards against calls of a router that is down: the front hands them to the destination's own too.
+#[test]
+fn a_call_to_the_own_exchange_goes_round_over_another_and_is_refused_once_all_turned_it_back() {
+    let mut net = Net::new(settings(3), 1);
+    let call = net.offer(0, 0);
+    let first = net.out(&call).expect("sent round");
+    net.ends(&call, Status::Full, Some(Cause::TurnedBack));
+    let second = net.out(&call).expect("sent round the other way");
+    assert!(first != second && ![&first, &second].contains(&&exchange(0)), "{first:?} {second:?}");
+    net.ends(&call, Status::Full, Some(Cause::TurnedBack));
+    assert!(!net.is_open(&call), "no way is left");
+}
+
 #[test]
 fn a_crank_back_is_not_repeated_over_the_same_tandem() {
     let mut net = Net::new(settings(3), 1);
