--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
 /// Shrinking of a window on a slow answer, and on a failure or silence.
 const SLOWER: f64 = 0.7;
 const FAILED: f64 = 0.5;
-/// After a crank-back a tandem is left out for that destination: first and longest, in spells.
+/// After a crank-back, but not each of one moment, a tandem rests for that destination: first, longest, spells.
 const CRANKED: (f64, f64) = (6.0, 48.0);
 /// A set-up out for so many usual set-up times is taken for lost; above a share of such, they are called off.
 const LOSSY: f64 = 0.04;
@@ -780,7 +780,7 @@
             if matches!(outcome.cause, Some(Cause::TurnedBack | Cause::TurnedBackFull)) {
                 let way = self.far.entry(dest).or_default().ways.entry(attempt.place).or_default();
                 let rest = (2.0 * way.0).clamp(CRANKED.0 * self.spell, CRANKED.1 * self.spell);
-                *way = (rest, self.now + rest);
+                *way = if self.now > way.1 { (rest, self.now + rest) } else { *way };
             }
             if outcome.status == Status::TimedOut {
                 self.note_own(attempt.place, (took / aim).max(1.0) + 0.01);
@@ -866,7 +866,7 @@
                 lost.push((attempt.place, age));
             }
         }
-        // Silence from several places and ease from none is the own processor's.
+        // Silence from several places and ease from none: the own processor's.
         if silent.len() > 1 && self.now > self.easy_at + 2.0 * self.spell {
             self.own_window.shrink(FAILED, self.now, self.spell);
         }
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -208,6 +208,19 @@
     assert_eq!(net.out(&next), None, "the next call does not try it either");
 }
 
+/// Guards against a tandem left out for long because several calls were on it at once.
+#[test]
+fn crank_backs_of_one_moment_count_once() {
+    let mut net = Net::new(settings(3), 1);
+    net.free(1, 0.0);
+    let calls: Vec<CallId> = (0..4).map(|_| net.offer(1, 0)).collect();
+    assert!(calls.iter().all(|c| net.out(c) == Some(exchange(2))));
+    calls.iter().for_each(|c| drop(net.ends(c, Status::Full, Some(Cause::TurnedBack))));
+    net.pass(ms(2000));
+    let next = net.offer(1, 0);
+    assert_eq!(net.out(&next), Some(exchange(2)), "the first rest is over");
+}
+
 #[test]
 fn among_many_tandems_one_that_carried_the_last_call_is_tried_before_strangers() {
     for seed in 0..8 {
