--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
 /// Shrinking of a window on a slow answer, and on a failure or silence.
 const SLOWER: f64 = 0.7;
 const FAILED: f64 = 0.5;
-/// After a crank-back (once for those of one moment) a tandem is left out there: first and longest, in spells.
+/// After a crank-back (one for those of a moment) a tandem is left out there: first and longest, in spells.
 const CRANKED: (f64, f64) = (6.0, 48.0);
 /// A set-up out for so many usual set-up times is taken for lost; above a share of such, they are called off.
 const LOSSY: f64 = 0.04;
