--- a/src/wire/link.rs
+++ b/src/wire/link.rs
@@ -9,6 +9,11 @@
 
 /// Connections to one exchange at most (the protocol's limit).
 const MOST: usize = 4;
+/// Connections kept open to an exchange that is listed.
+///
+/// Guards against one that falls deaf with all set-ups on it: only what another is told shows it in time for
+/// them to go again within their aim, and new set-ups go to the one heard last.
+const KEPT: usize = 2;
 /// Pause before the next connect after a failed one: first and longest.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Where calls stand and nothing was heard for this long, a second connection is opened: what they end
@@ -18,7 +23,7 @@
 const HALF: Duration = Duration::from_millis(400);
 /// The state of a group is told on all open connections. One that has heard nothing for the first time, and
 /// goes without what another is told for the second, is of no further use.
-const DEAF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(300));
+const DEAF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(100));
 /// After a connection has ended its exchange may write to it for so long; what was lost that way comes on the
 /// next one opened.
 const COLLECT: Duration = Duration::from_millis(250);
@@ -321,8 +326,13 @@
         let silent = |c: &Conn| c.quiet_since.is_some_and(|since| now >= since + self.silence);
         // Guards against a machine that vanished and came back: its old connections stay open and silent.
         let collect = self.collect_at.is_some_and(|at| now >= at);
-        let useless =
-            missed || collect || self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
+        // One that has just ended is made good when its releases are collected.
+        let open = self.conns.iter().filter(|c| c.outbox.is_open()).count();
+        let few = open < KEPT && self.collect_at.is_none();
+        let useless = missed
+            || collect
+            || few
+            || self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
         // A call's release comes on the next connection opened, so drains and losses keep a link wanted.
         self.listed && useless && !self.connecting && now >= self.next_try
     }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -18,6 +18,12 @@
     let router = Router::start(&config(&[exchange.address]));
     let mut caller = router.caller();
     caller.ready();
+    until("both connections", || exchange.taken.lock().unwrap().len() == 2);
+    // The one heard last gets the set-ups.
+    for stream in exchange.taken.lock().unwrap().iter() {
+        say(stream, &serde_json::json!({"verb": "ECHO", "tag": "1", "opts": {}, "rc": 0}));
+        exchange.hear("ECHOED");
+    }
     caller.invite("00000000000000e0", 1, 3000);
     let (_, stream, _) = exchange.hear("START");
     (exchange, router, caller, stream)
@@ -122,6 +128,33 @@
     assert!(caller.hear().first.contains(" 200 "));
 }
 
+/// Guards against set-ups that wait for their time-out on a connection that has gone deaf, while the others
+/// are told news: they go again in time for the aim.
+#[test]
+fn set_ups_on_a_deaf_connection_go_again_as_soon_as_another_is_told_news() {
+    let (exchange, _router, mut caller, deaf) = one_out();
+    let of = |s: &TcpStream| s.peer_addr().unwrap();
+    let both: Vec<TcpStream> =
+        exchange.taken.lock().unwrap().iter().map(|s| s.try_clone().unwrap()).collect();
+    let other = both.iter().find(|s| of(s) != of(&deaf)).unwrap();
+    let begun = Instant::now();
+    let (start, stream) = loop {
+        say(
+            other,
+            &serde_json::json!({"verb": "LOAD", "tag": "", "opts": {"load": "spare:9;total:9;lat_ms:-1"}}),
+        );
+        if let Some((start, stream, _)) = exchange.heard_within("START", Duration::from_millis(20)) {
+            break (start, stream);
+        }
+        assert!(begun.elapsed() < LIMIT);
+    };
+    // The guard is half a second.
+    assert!(begun.elapsed() < Duration::from_millis(750) + SLACK, "{:?}", begun.elapsed());
+    assert!(begun.elapsed() >= Duration::from_millis(500) && of(&stream) != of(&deaf));
+    started(&stream, start["tag"].as_str().unwrap());
+    assert!(caller.hear().first.contains(" 200 "));
+}
+
 /// Guards against connections and lists that grow with every exchange that is replaced.
 #[test]
 fn an_exchange_that_has_gone_is_forgotten() {
