Count the time of half a message from that message, not from an earlier one

Seen while reading the sources: a caller whose reads all end in the middle of a message is answered 408 and closed after 2 s, though each message is ended at once. Checked by feeding the callers by hand: closed at the 21st message. At fault: `callers.rs`, reading kept the first time; heard did not end it. Done: a whole message ends it.

--- a/src/wire/callers.rs
+++ b/src/wire/callers.rs
@@ -95,7 +95,8 @@
     /// A whole message has come.
     pub fn heard(&mut self, now: Duration, id: u64) {
         if let Some(caller) = self.open.get_mut(&id) {
-            caller.heard = Some(now);
+            // Guards busy callers whose reads end in the middle of ever new messages.
+            (caller.heard, caller.half) = (Some(now), None);
         }
     }
 
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -4,8 +4,11 @@
 
 use std::io::Read;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use quartzspindle::wire::callers::Callers;
+use quartzspindle::wire::driver::Outbox;
 use rstest::rstest;
 use stand::*;
 
@@ -89,6 +92,20 @@
     caller.ready();
 }
 
+/// Guards busy callers: each read may end in the middle of a message, if it is another one every time.
+#[test]
+fn only_one_and_the_same_message_may_not_stay_unended() {
+    let mut callers = Callers::new(4);
+    callers.admit(Duration::ZERO, 1, Rc::new(Outbox::new(1000)));
+    for n in 1..50 {
+        let now = Duration::from_millis(100 * n);
+        callers.heard(now, 1);
+        callers.reading(now, 1, true);
+        assert!(callers.look(now).is_empty(), "{now:?}");
+    }
+    assert_eq!(callers.look(Duration::from_secs(7)), [1], "the last one was never ended");
+}
+
 /// Guards the turn of the others against one that sends the same again as soon as it is turned away.
 #[test]
 fn a_flood_of_what_cannot_be_served_ends_with_the_connection() {
