Let the stand-in exchange tell its state before a test can write on the connection

At fault: tests/stand, serve wrote the state in pieces after the test had the stream. Done: each line in one write, the state before the stream is handed out.

--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -236,6 +236,10 @@
         let all = taken.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
+                // Told before a test gets hold of the connection, so that no two lines are mixed.
+                let load =
+                    json!({"verb": "LOAD", "tag": "", "opts": {"load": "spare:500;total:500;lat_ms:-1"}});
+                let _ = (&stream).write_all(format!("{load}\n").as_bytes());
                 all.lock().unwrap().push(stream.try_clone().unwrap());
                 let sender = sender.clone();
                 thread::spawn(move || Self::serve(&stream, &sender));
@@ -244,9 +248,7 @@
         Self { address, heard, taken }
     }
 
-    fn serve(mut stream: &TcpStream, sender: &Sender<(Value, TcpStream, Instant)>) {
-        let load = json!({"verb": "LOAD", "tag": "", "opts": {"load": "spare:500;total:500;lat_ms:-1"}});
-        let _ = writeln!(stream, "{load}");
+    fn serve(stream: &TcpStream, sender: &Sender<(Value, TcpStream, Instant)>) {
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
             let value = serde_json::from_str(&line).unwrap();
             if sender.send((value, stream.try_clone().unwrap(), Instant::now())).is_err() {
@@ -273,7 +275,7 @@
 
 /// Says something as an exchange.
 pub fn say(mut stream: &TcpStream, message: &Value) {
-    writeln!(stream, "{message}").unwrap();
+    stream.write_all(format!("{message}\n").as_bytes()).unwrap();
 }
 
 pub fn started(stream: &TcpStream, call: &str) {
