--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,6 +26,8 @@
 const TRANSITION: f64 = 1.1;
 /// Part of the cold budget used: the rest is slack for repeats and for what is in flight.
 const COLD_MARGIN: f64 = 0.9;
+/// What a warm processor can take from a sender, in what it was sent: it sets up its own calls as well.
+const COLD_SHARE: f64 = 1.5;
 /// Circuits kept free on a tandem's first leg: at rest, and for each unit of blocking; its smoothing per try.
 const RESERVE_BASE: f64 = 1.0;
 const RESERVE_GAIN: f64 = 10.0;
@@ -212,6 +214,9 @@
     sent_width: f64,
     /// Share of recent direct tries that found no circuit.
     blocking: f64,
+    /// Set-ups sent in this cycle; while it is warm and answers, smoothed, a second.
+    sent: f64,
+    rate: f64,
 }
 
 #[derive(Debug)]
@@ -331,8 +336,7 @@
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now.as_secs_f64());
-        if !self.started {
-            self.started = true;
+        if !std::mem::replace(&mut self.started, true) {
             out.push(Action::Timer { after: Duration::from_secs_f64(self.spell), token: CYCLE_TOKEN });
             out.extend(self.set.registry_asks.then_some(Action::Watch));
         }
@@ -379,6 +383,12 @@
                 self.own.end_period();
             }
             self.own.end_cycle();
+            for (place, far) in &mut self.far {
+                let mut warm = self.machines.values().filter(|m| m.place == *place && m.warm_at <= self.now);
+                let usual = far.window.size >= 1.0 && warm.any(|m| m.health == Health::Live);
+                let sent = std::mem::take(&mut far.sent) / CYCLE;
+                far.rate += if usual { THETA * (sent - far.rate) } else { 0.0 };
+            }
             self.busy.retain(|_, (_, until)| self.now < *until + 2.0 * REST.1 * self.spell);
             let longest = self.set.classes.iter().map(|c| c.deadline.as_secs_f64()).fold(0.0, f64::max);
             self.redials.retain(|_, first| self.now < *first + longest);
@@ -387,32 +397,23 @@
     }
 
     fn here(&self) -> Option<Place> {
-        if let Topology::Meshed(place) = self.set.topology {
-            Some(place)
-        } else {
-            None
-        }
+        let Topology::Meshed(place) = self.set.topology else { return None };
+        Some(place)
     }
 
     // ---- the directory -------------------------------------------------------------------------
 
     fn on_directory(&mut self, kind: ListKind, entries: &Arc<Vec<Entry>>) {
-        if kind == ListKind::Failed {
-            self.ask_again = true; // at the end of a cycle, so that a refusing registry is not flooded
-            return;
-        }
-        let unnamed = self.machines.values_mut().filter(|_| kind != ListKind::Changes);
-        unnamed.for_each(|m| m.health = Health::Gone);
+        // Asked again at the end of a cycle, so that a refusing registry is not flooded.
+        self.ask_again |= kind == ListKind::Failed;
+        let whole = matches!(kind, ListKind::Full | ListKind::Stored);
+        self.machines.values_mut().filter(|_| whole).for_each(|m| m.health = Health::Gone);
         for entry in entries.iter() {
             let warm_at = entry.up_since.map_or(0.0, |t| (t + self.set.contract.cold).as_secs_f64());
-            let machine = self.machines.entry(entry.exchange.clone()).or_insert_with(|| Machine {
-                place: entry.place,
-                health: entry.health,
-                warm_at: 0.0,
-                cold_sends: Vec::new(),
-            });
+            let cold_sends = self.machines.remove(&entry.exchange).map_or_else(Vec::new, |m| m.cold_sends);
+            let machine = Machine { place: entry.place, health: entry.health, warm_at, cold_sends };
+            self.machines.insert(entry.exchange.clone(), machine);
             self.far.entry(entry.place).or_default();
-            (machine.place, machine.health, machine.warm_at) = (entry.place, entry.health, warm_at);
         }
         if self.machines.len() > 4 * self.far.len() {
             self.machines.retain(|_, m| m.health != Health::Gone);
@@ -658,26 +659,28 @@
         far.sent_width = call.width + if far.sent_at == self.now { far.sent_width } else { 0.0 };
         far.sent_at = self.now;
         far.window.out += 1.0;
+        far.sent += 1.0;
         self.own_window.out += 1.0;
         let overdue_at = self.now + LOST_AFTER * far.setup.max(self.setup);
         out.push(Action::Send { call: id.clone(), to: exchange.clone(), until });
         self.wake_at(overdue_at, id, out);
-        if let Some(machine) = self.machines.get_mut(&exchange).filter(|_| cold) {
-            machine.cold_sends.push(self.now);
-        }
+        let machine = self.machines.get_mut(&exchange).filter(|_| cold).into_iter();
+        machine.for_each(|m| m.cold_sends.push(self.now));
         true
     }
 
-    /// Rule 4: this sender's share of what a cold exchange can take over the window.
+    /// Rule 4: this sender's share of what a cold exchange can take over the window. Guards against one kept
+    /// idle, too: what was sent there while it was warm tells more than what is dialled here.
     fn cold_room(&mut self, exchange: &ExchangeId) -> bool {
         let contract = &self.set.contract;
         let window = contract.fall.as_secs_f64();
         let Some(machine) = self.machines.get_mut(exchange) else { return false };
+        let usual = self.far.get(&machine.place).map_or(0.0, |f| COLD_SHARE * f.rate);
+        let share = usual.max(self.own.x.max(FLOOR) / f64::from(self.set.fleet_size));
         // Its capacity grows until it is warm; the manner is not told, taken for even.
         let left = ((machine.warm_at - self.now) / contract.cold.as_secs_f64()).clamp(0.0, 1.0);
-        let capacity = (1.0 - left * (1.0 - contract.cold_from)) * self.own.x.max(FLOOR);
-        let budget =
-            COLD_MARGIN * contract.fall_multiple * capacity * window / f64::from(self.set.fleet_size);
+        let warmth = 1.0 - left * (1.0 - contract.cold_from);
+        let budget = COLD_MARGIN * contract.fall_multiple * warmth * share * window;
         // A share of less than one set-up: one in as many windows as make it up.
         machine.cold_sends.retain(|t| *t > self.now - window / budget.min(1.0));
         (machine.cold_sends.len() as f64) + 1.0 <= budget.max(1.0)
@@ -709,9 +712,8 @@
     /// A set-up is answered, one way or other: it leaves the windows.
     fn answered(&mut self, place: Place, took: f64) {
         self.own_window.answered(took, self.now, TRIAL * self.spell);
-        if let Some(far) = self.far.get_mut(&place) {
-            far.window.answered(took, self.now, TRIAL * self.spell);
-        }
+        let far = self.far.get_mut(&place).into_iter();
+        far.for_each(|f| f.window.answered(took, self.now, TRIAL * self.spell));
     }
 
     fn on_stands(&mut self, id: &CallId, took: f64, out: &mut Vec<Action>) {
@@ -861,9 +863,8 @@
                 far.for_each(|f| f.window.shrink(FAILED, self.now, self.spell));
             }
             // Past the aim it is given up for the windows, so that a trial can go to a silent processor.
-            if age > aim && std::mem::take(&mut attempt.counted) {
-                lost.push((attempt.place, age));
-            }
+            let given_up = age > aim && std::mem::take(&mut attempt.counted);
+            lost.extend(given_up.then_some((attempt.place, age)));
         }
         // Silence from several places and ease from none: the own processor's.
         if silent.len() > 1 && self.now > self.easy_at + 2.0 * self.spell {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -78,6 +78,29 @@
     assert!(halves[1] > 100, "{halves:?} set-ups in the two halves of the cold time");
 }
 
+/// Guards against an exchange kept idle after a restart: it bore 50 set-ups a second from here while it was
+/// warm, and with four senders a quarter of the calls dialled here is far less.
+#[test]
+fn a_cold_exchange_gets_what_it_bore_while_it_was_warm() {
+    let mut net = Net::new(settings(4), 1);
+    let drive = |net: &mut Net, n| {
+        let mut sent = 0;
+        for _ in 0..n {
+            net.offer(1, 0);
+            net.pass(ms(20));
+            let out: Vec<CallId> = net.sent.iter().map(|s| s.0.clone()).collect();
+            sent += out.len();
+            out.iter().for_each(|call| drop(net.stands(call)));
+        }
+        sent
+    };
+    drive(&mut net, 500);
+    net.list(ListKind::Changes, vec![entry(1, Health::Live, Some(net.now))]);
+    let first = drive(&mut net, 100);
+    // In 2 s: 0.9 x multiple 4 x cold share 0.3 x 1.5 x 50/s x 2 s = 162 at most; a quarter of 50/s would be 27.
+    assert!((60..=162).contains(&first), "{first} set-ups of 100 in the first window");
+}
+
 #[test]
 fn of_ninety_senders_each_spreads_a_cold_share_below_one_set_up_over_several_windows() {
     let mut net = Net::new(settings(90), 1);
