--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,10 +2,11 @@
 #![forbid(unsafe_code)]
 #![warn(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-pub mod choice;
+pub mod call;
 pub mod interface;
 pub mod lifecycle;
-pub mod memory;
-pub mod wire;
+pub mod net;
+pub mod policy;
+pub mod protocol;
 
-pub use choice::Controller;
+pub use policy::Controller;
--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -8,8 +8,8 @@
 use tinyjson::JsonValue;
 
 use crate::interface::*;
-use crate::wire::dns::Name;
-use crate::wire::vrrp;
+use crate::protocol::dns::Name;
+use crate::protocol::vrrp;
 
 /// What is wrong with a configuration, and at which key.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/lifecycle/console.rs
+++ b/src/lifecycle/console.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::wire::{enumeration, platform, standby::Standby};
+use crate::net::{enumeration, platform, standby::Standby};
 
 /// Longest command line; what is longer is no command.
 const LONGEST: usize = 200;
@@ -92,8 +92,8 @@
     fn exchanges(&self, text: &mut String) {
         let platform = self.platform.borrow();
         for line in platform.core.exchanges.lines() {
-            let link = platform.links().find(|(id, _)| **id == line.exchange).map(|(_, link)| link);
-            let (address, open) = link.map_or((String::new(), 0), |l| (l.address.to_string(), l.open()));
+            let pool = platform.pools().find(|(id, _)| **id == line.exchange).map(|(_, pool)| pool);
+            let (address, open) = pool.map_or((String::new(), 0), |l| (l.address.to_string(), l.open()));
             let (id, place) = (&line.exchange.0, line.place.0);
             let _ = writeln!(text, "{id} place {place} {:?} {address} connections {open}", line.health);
         }
--- a/src/lifecycle/run.rs
+++ b/src/lifecycle/run.rs
@@ -12,12 +12,12 @@
 
 use super::config::Config;
 use super::console::{self, View};
-use crate::wire::driver::{self, Clock};
-use crate::wire::enumeration::{self, Front};
-use crate::wire::platform::Platform;
-use crate::wire::sockets;
-use crate::wire::standby::{self, Standby};
-use crate::wire::vrrp::Router;
+use crate::net::connection::{self, Clock};
+use crate::net::enumeration::{self, Front};
+use crate::net::platform::Platform;
+use crate::net::sockets;
+use crate::net::standby::{self, Standby};
+use crate::protocol::vrrp::Router;
 
 /// After SIGTERM connections and requests go on coming for 0.6 s, stragglers for longer; this covers them.
 /// Then no more connections are taken, and those that wait for nothing are closed.
@@ -50,7 +50,8 @@
     let mut term = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let clock = Clock::new();
-    let listener = driver::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listener =
+        connection::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let platform = Platform::new(&config, log.clone(), clock)?;
     tokio::task::spawn_local(sockets::keep_time(platform.clone()));
     tokio::task::spawn_local(sockets::follow(platform.clone()));
--- a/src/wire/callers.rs
+++ b/src/net/client_connections.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
-use super::driver::Shared;
+use super::connection::SharedWriteBuffer;
 use crate::interface::CallId;
 
 /// Connections that may be closing beyond the share.
 const CLOSING: usize = 16;
-/// A connection that has brought no whole message for so long, or half of one, is closed.
+/// A connection that has brought no whole message for so long, or part of one, is closed.
 ///
 /// Guards against callers that connect and say nothing, or never end what they say.
 const SILENT: Duration = Duration::from_secs(2);
@@ -19,41 +19,41 @@
 /// Messages that can't be served, on one connection, before it is closed.
 ///
 /// Guards the turn of other callers against one that sends the same again as soon as it is turned away.
-const OFFENCES: u32 = 8;
+const MAX_PROTOCOL_ERRORS: u32 = 8;
 
 #[derive(Debug)]
-struct Caller {
-    outbox: Shared,
+struct ClientConnection {
+    writes: SharedWriteBuffer,
     invites: HashSet<CallId>,
     opened: Duration,
     /// Last whole message.
-    heard: Option<Duration>,
+    last_received_at: Option<Duration>,
     /// Since when a message has been begun and not ended.
-    half: Option<Duration>,
+    partial_message_since: Option<Duration>,
     /// A call of it has stood: it is one of those that follow the protocol.
     proven: bool,
-    offences: u32,
+    protocol_errors: u32,
 }
 
-impl Caller {
+impl ClientConnection {
     fn is_idle(&self) -> bool {
-        self.invites.is_empty() && self.outbox.is_open()
+        self.invites.is_empty() && self.writes.is_open()
     }
 
     fn last(&self) -> Duration {
-        self.heard.unwrap_or(self.opened)
+        self.last_received_at.unwrap_or(self.opened)
     }
 }
 
 /// All connections of callers.
 #[derive(Debug)]
-pub struct Callers {
-    open: BTreeMap<u64, Caller>,
+pub struct ClientConnections {
+    open: BTreeMap<u64, ClientConnection>,
     /// Connections at most.
     pub most: usize,
 }
 
-impl Callers {
+impl ClientConnections {
     /// No connection yet, and so many at most.
     pub fn new(most: usize) -> Self {
         Self { open: BTreeMap::new(), most }
@@ -63,25 +63,25 @@
     ///
     /// Guards against connections that are opened and left: of those without a set-up the one of least use
     /// makes room, and those that are still closing are not counted on.
-    pub fn admit(&mut self, now: Duration, id: u64, outbox: Shared) -> bool {
+    pub fn admit(&mut self, now: Duration, id: u64, writes: SharedWriteBuffer) -> bool {
         if self.open.len() >= self.most {
             let idle = self.open.values().filter(|c| c.is_idle());
-            let Some(least) = idle.min_by_key(|c| (c.proven, c.heard.is_some(), c.last())) else {
+            let Some(least) = idle.min_by_key(|c| (c.proven, c.last_received_at.is_some(), c.last())) else {
                 return false;
             };
-            least.outbox.close();
+            least.writes.close();
             if self.open.len() >= self.most + CLOSING {
                 return false;
             }
         }
-        let caller = Caller {
-            outbox,
+        let caller = ClientConnection {
+            writes,
             invites: HashSet::new(),
             opened: now,
-            heard: None,
-            half: None,
+            last_received_at: None,
+            partial_message_since: None,
             proven: false,
-            offences: 0,
+            protocol_errors: 0,
         };
         self.open.insert(id, caller);
         true
@@ -93,26 +93,26 @@
     }
 
     /// A whole message has come.
-    pub fn heard(&mut self, now: Duration, id: u64) {
+    pub fn on_message(&mut self, now: Duration, id: u64) {
         if let Some(caller) = self.open.get_mut(&id) {
             // Guards busy callers whose reads end in the middle of ever new messages.
-            (caller.heard, caller.half) = (Some(now), None);
+            (caller.last_received_at, caller.partial_message_since) = (Some(now), None);
         }
     }
 
     /// After what was read last, the connection is in the middle of a message or not.
-    pub fn reading(&mut self, now: Duration, id: u64, half: bool) {
+    pub fn on_read(&mut self, now: Duration, id: u64, is_partial: bool) {
         if let Some(caller) = self.open.get_mut(&id) {
-            caller.half = half.then(|| caller.half.unwrap_or(now));
+            caller.partial_message_since = is_partial.then(|| caller.partial_message_since.unwrap_or(now));
         }
     }
 
     /// It sent what can't be served; after too many such messages it is closed.
-    pub fn offence(&mut self, id: u64) {
+    pub fn record_protocol_error(&mut self, id: u64) {
         let Some(caller) = self.open.get_mut(&id) else { return };
-        caller.offences += 1;
-        if caller.offences >= OFFENCES {
-            caller.outbox.close();
+        caller.protocol_errors += 1;
+        if caller.protocol_errors >= MAX_PROTOCOL_ERRORS {
+            caller.writes.close();
         }
     }
 
@@ -136,16 +136,16 @@
     }
 
     /// A call of it stands.
-    pub fn stood(&mut self, id: u64) {
+    pub fn on_answered(&mut self, id: u64) {
         if let Some(caller) = self.open.get_mut(&id) {
             caller.proven = true;
         }
     }
 
     /// Writes on a connection.
-    pub fn say(&self, id: u64, bytes: &[u8]) {
+    pub fn send(&self, id: u64, bytes: &[u8]) {
         if let Some(caller) = self.open.get(&id) {
-            caller.outbox.push(bytes);
+            caller.writes.enqueue(bytes);
         }
     }
 
@@ -154,25 +154,26 @@
     ///
     /// Guards against releases sent to a connection that was opened and left, as the newest often is.
     pub fn for_release(&self, own: Option<u64>, not: Option<u64>) -> Option<u64> {
-        let fits = |id: &u64| Some(*id) != not && self.open.get(id).is_some_and(|c| c.outbox.is_open());
+        let fits = |id: &u64| Some(*id) != not && self.open.get(id).is_some_and(|c| c.writes.is_open());
         let others = self.open.iter().filter(|(id, _)| fits(id));
-        own.filter(fits).or_else(|| others.max_by_key(|(id, c)| (c.proven, c.heard, **id)).map(|(id, _)| *id))
+        own.filter(fits)
+            .or_else(|| others.max_by_key(|(id, c)| (c.proven, c.last_received_at, **id)).map(|(id, _)| *id))
     }
 
     /// Closes what has been silent, in the middle of a message or idle for too long; returns those for which
     /// a last word is due: they never ended their message.
-    pub fn look(&self, now: Duration) -> Vec<u64> {
+    pub fn sweep(&self, now: Duration) -> Vec<u64> {
         let mut late = Vec::new();
-        let kept = self.open.values().filter(|c| c.proven && c.outbox.is_open()).count();
-        for (id, caller) in self.open.iter().filter(|(_, c)| c.outbox.is_open()) {
-            let silent = caller.heard.is_none() && now >= caller.opened + SILENT;
-            let half = caller.half.is_some_and(|since| now >= since + SILENT);
+        let kept = self.open.values().filter(|c| c.proven && c.writes.is_open()).count();
+        for (id, caller) in self.open.iter().filter(|(_, c)| c.writes.is_open()) {
+            let silent = caller.last_received_at.is_none() && now >= caller.opened + SILENT;
+            let overdue = caller.partial_message_since.is_some_and(|since| now >= since + SILENT);
             // The last that serves calls stays, for the releases.
             let idle = caller.is_idle() && now >= caller.last() + IDLE && (!caller.proven || kept > 1);
-            if half {
+            if overdue {
                 late.push(*id);
             } else if idle || silent && caller.is_idle() {
-                caller.outbox.close();
+                caller.writes.close();
             }
         }
         late
@@ -180,14 +181,14 @@
 
     /// Closes the connections that wait for nothing: all, or those with no part of a message.
     pub fn close_idle(&self, all: bool) {
-        let idle = self.open.values().filter(|c| c.is_idle() && (all || c.half.is_none()));
-        idle.for_each(|c| c.outbox.close());
+        let idle = self.open.values().filter(|c| c.is_idle() && (all || c.partial_message_since.is_none()));
+        idle.for_each(|c| c.writes.close());
     }
 
     /// Closes a connection once what is queued has been written.
     pub fn close(&self, id: u64) {
         if let Some(caller) = self.open.get(&id) {
-            caller.outbox.close();
+            caller.writes.close();
         }
     }
 }
--- a/src/wire/driver.rs
+++ b/src/net/connection.rs
@@ -13,13 +13,13 @@
 
 /// Bytes that may wait for a slow peer, a caller and an exchange; beyond it the connection is closed.
 ///
-/// Guards the memory limit: one peer that stops reading must not take the room of all others. Callers are
+/// Guards the memory limit: one peer that stops reading must not take the room of all others. ClientConnections are
 /// many, exchanges few.
-pub const BACKLOGS: (usize, usize) = (48 * 1024, 256 * 1024);
+pub const WRITE_BUFFER_LIMITS: (usize, usize) = (48 * 1024, 256 * 1024);
 /// What a connection keeps allocated for its output while nothing waits.
-const ROOM: usize = 16 * 1024;
+const RETAINED_CAPACITY: usize = 16 * 1024;
 /// Connections waiting to be accepted.
-const ACCEPTS: u32 = 512;
+const ACCEPT_BACKLOG: u32 = 512;
 
 /// The Unix clock, read once; it never steps back.
 #[derive(Debug, Clone, Copy)]
@@ -54,21 +54,21 @@
 
 /// What is to be written on a connection, and whether it is to be closed.
 #[derive(Debug)]
-pub struct Outbox {
+pub struct WriteBuffer {
     backlog: usize,
     bytes: RefCell<Vec<u8>>,
     closing: Cell<bool>,
     wake: Notify,
 }
 
-impl Outbox {
-    /// An outbox that takes so many bytes.
+impl WriteBuffer {
+    /// An writes that takes so many bytes.
     pub fn new(backlog: usize) -> Self {
         Self { backlog, bytes: RefCell::default(), closing: Cell::new(false), wake: Notify::new() }
     }
 
     /// Queues bytes; a peer that has let too many wait is cut off.
-    pub fn push(&self, bytes: &[u8]) {
+    pub fn enqueue(&self, bytes: &[u8]) {
         let mut queue = self.bytes.borrow_mut();
         if queue.len() + bytes.len() > self.backlog {
             self.closing.set(true);
@@ -95,9 +95,9 @@
 ///
 /// # Errors
 /// What the socket reports, a reset among others.
-pub async fn pump(
+pub async fn run_connection(
     stream: TcpStream,
-    outbox: &Outbox,
+    writes: &WriteBuffer,
     mut on_bytes: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> io::Result<()> {
     let (mut reader, mut writer) = stream.into_split();
@@ -106,14 +106,14 @@
     let mut written = 0;
     loop {
         if written == output.len() {
-            if output.capacity() > ROOM {
+            if output.capacity() > RETAINED_CAPACITY {
                 // Guards memory against the longest backlog of each of many connections.
                 output = Vec::new();
             }
             output.clear();
             written = 0;
-            std::mem::swap(&mut output, &mut outbox.bytes.borrow_mut());
-            if output.is_empty() && !outbox.is_open() {
+            std::mem::swap(&mut output, &mut writes.bytes.borrow_mut());
+            if output.is_empty() && !writes.is_open() {
                 return Ok(());
             }
         }
@@ -122,18 +122,18 @@
                 let n = read?;
                 // Guards against a set-up that is taken up on a connection already marked for closing: its
                 // caller sends it again.
-                if n == 0 || !outbox.is_open() || on_bytes(&input[..n]).is_break() {
+                if n == 0 || !writes.is_open() || on_bytes(&input[..n]).is_break() {
                     // What was queued as a last word is still written, as far as it goes at once.
                     output.drain(..written);
-                    output.append(&mut outbox.bytes.borrow_mut());
+                    output.append(&mut writes.bytes.borrow_mut());
                     let _ = writer.try_write(&output);
                     return Ok(());
                 }
             }
             wrote = writer.write(&output[written..]), if written < output.len() => written += wrote?,
-            () = outbox.wake.notified() => {
+            () = writes.wake.notified() => {
                 // Guards against a peer that reads nothing: once cut off it is not waited for.
-                if !outbox.is_open() && written < output.len() && outbox.bytes.borrow().is_empty() {
+                if !writes.is_open() && written < output.len() && writes.bytes.borrow().is_empty() {
                     let _ = writer.try_write(&output[written..]);
                     return Ok(());
                 }
@@ -160,11 +160,11 @@
     let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.bind(at)?;
-    socket.listen(ACCEPTS)
+    socket.listen(ACCEPT_BACKLOG)
 }
 
-/// A shared outbox.
-pub type Shared = Rc<Outbox>;
+/// A shared writes.
+pub type SharedWriteBuffer = Rc<WriteBuffer>;
 
 /// A front that has things to do at certain times.
 pub trait Timed {
@@ -173,7 +173,7 @@
     /// Does what is due.
     fn wake(&mut self, now: Duration);
     /// Looks after what has no time of its own.
-    fn look(&mut self, now: Duration);
+    fn sweep(&mut self, now: Duration);
 }
 
 /// Does what is due, when it is due, and looks after the rest at an interval; `changed` tells of earlier
@@ -193,7 +193,7 @@
         }
         if now >= look {
             look = now + every;
-            front.look(now);
+            front.sweep(now);
         }
     }
 }
--- a/src/wire/enumeration.rs
+++ b/src/net/enumeration.rs
@@ -18,12 +18,12 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
-use super::dns::{self, Lead, Message, Name, Naptr};
-use super::driver::{self, Clock, Timed};
+use super::connection::{self, Clock, Timed};
+use crate::call::calls::Origin;
+use crate::call::core::{Core, Effect, Reply, Request};
 use crate::interface::*;
 use crate::lifecycle::config::Enum;
-use crate::memory::calls::Origin;
-use crate::memory::core::{Core, Effect, Reply, Request};
+use crate::protocol::dns::{self, Lead, Message, Name, Naptr};
 use crate::Controller;
 
 /// Class of a resolver's query.
@@ -224,10 +224,10 @@
         if response {
             return; // guards against two servers that answer each other for ever
         }
-        let Some(query) = dns::read(bytes) else { return self.say(from, &dns::formerr(id)) };
+        let Some(query) = dns::read(bytes) else { return self.send_to_client(from, &dns::formerr(id)) };
         let name = match dns::served(&query, &self.setup.zone) {
             Ok(name) => name,
-            Err(rcode) => return self.say(from, &dns::response(&query, rcode, &[])),
+            Err(rcode) => return self.send_to_client(from, &dns::response(&query, rcode, &[])),
         };
         if self.asked.contains(&(from, id)) {
             return;
@@ -237,14 +237,14 @@
         let room = self.setup.most - self.setup.most / 4;
         let own = self.asked.iter().filter(|(asker, _)| asker.ip() == from.ip()).count();
         if self.askers.len() >= room || own >= room.div_ceil(2) {
-            return self.say(from, &dns::response(&query, dns::SERVFAIL, &[]));
+            return self.send_to_client(from, &dns::response(&query, dns::SERVFAIL, &[]));
         }
         self.asked.insert((from, id));
         let within = self.setup.answer_within;
         self.begin(Asker::Resolver { from, query }, QUERY, name, within);
     }
 
-    fn say(&self, to: SocketAddr, bytes: &[u8]) {
+    fn send_to_client(&self, to: SocketAddr, bytes: &[u8]) {
         if let Some(socket) = &self.socket {
             if let Err(e) = socket.try_send_to(bytes, to) {
                 debug!(self.log, "response not sent"; "error" => %e);
@@ -287,7 +287,7 @@
                     Some(found) => dns::response(&query, found.rcode, &found.records),
                     None => dns::response(&query, dns::SERVFAIL, &[]),
                 };
-                self.say(from, &response);
+                self.send_to_client(from, &response);
             }
             // Whoever asked for a call may have stopped waiting.
             Some(Asker::Call(asker)) => drop(asker.send(found)),
@@ -478,7 +478,7 @@
         self.flush();
     }
 
-    fn look(&mut self, _now: Duration) {
+    fn sweep(&mut self, _now: Duration) {
         self.tell_room();
         self.flush();
     }
@@ -487,5 +487,5 @@
 /// Does what is due, when it is due, and tells the core how much room there is.
 pub async fn keep_time(front: Handle) {
     let (clock, due) = (front.borrow().clock, front.borrow().due.clone());
-    driver::keep_time(front, clock, due, LOOK).await;
+    connection::keep_time(front, clock, due, LOOK).await;
 }
--- a/src/wire/link.rs
+++ b/src/net/exchange_pool.rs
@@ -4,38 +4,38 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::driver::Shared;
+use super::connection::SharedWriteBuffer;
 use crate::interface::{CallId, Status};
 
 /// Connections to one exchange at most (the protocol's limit).
-const MOST: usize = 4;
+const MAX_CONNECTIONS: usize = 4;
 /// Connections kept open to an exchange that is listed.
 ///
 /// Guards against one that falls deaf with all set-ups on it: only what another is told shows it in time for
 /// them to go again within their aim, and new set-ups go to the one heard last.
-const KEPT: usize = 2;
+const MIN_IDLE_CONNECTIONS: usize = 2;
 /// Pause before the next connect after a failed one: first and longest.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
+const CONNECT_BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Where calls stand and nothing was heard for this long, a second connection is opened: what they end
 /// with comes on the next one opened.
 const IDLE: Duration = Duration::from_millis(1500);
 /// A line that is begun and not ended within this was cut short: lines are written in one go.
-const HALF: Duration = Duration::from_millis(400);
+const PARTIAL_LINE_TIMEOUT: Duration = Duration::from_millis(400);
 /// The state of a group is told on all open connections. One that has heard nothing for the first time, and
 /// goes without what another is told for the second, is of no further use.
-const DEAF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(100));
+const STALLED: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(100));
 /// After a connection has ended its exchange may write to it for so long; what was lost that way comes on the
 /// next one opened.
-const COLLECT: Duration = Duration::from_millis(250);
+const RELEASE_COLLECT_DELAY: Duration = Duration::from_millis(250);
 /// Connections to an exchange that is no longer listed are kept for this long, for the set-ups on them.
-const LEFT: Duration = Duration::from_secs(10);
+const REMOVED_LINGER: Duration = Duration::from_secs(10);
 /// The release of a call is due 8 s after its end even if its exchange could not send it.
 ///
 /// Guards against calls that end while their exchange is out of reach: of those that stood when it was
 /// last heard, any may be over since. Harm: those that still stand are cut.
 const OUT_OF_REACH: Duration = Duration::from_millis(7400);
 /// Releases that wait for a connection, at most.
-const WAITING: usize = 4096;
+const MAX_QUEUED_RELEASES: usize = 4096;
 
 /// Number of a connection, never used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -44,16 +44,16 @@
 #[derive(Debug)]
 struct Conn {
     id: ConnId,
-    outbox: Shared,
-    heard: Duration,
+    writes: SharedWriteBuffer,
+    last_received_at: Duration,
     set_ups: BTreeSet<CallId>,
     /// Since when a set-up has waited with nothing heard.
     quiet_since: Option<Duration>,
     /// Since when a line has been begun and not ended.
-    half: Option<Duration>,
+    partial_line_since: Option<Duration>,
     /// The state of the group has been told on it; and since when it has been told on others only.
-    told: bool,
-    deaf_since: Option<Duration>,
+    notified: bool,
+    stalled_since: Option<Duration>,
     retired: bool,
 }
 
@@ -68,7 +68,7 @@
 
 /// All connections to one exchange.
 #[derive(Debug)]
-pub struct Link {
+pub struct ExchangePool {
     /// Where it listens.
     pub address: SocketAddr,
     listed: bool,
@@ -89,11 +89,11 @@
     collect_at: Option<Duration>,
     tried: bool,
     /// Last word on any connection, and whether a connect was silent since.
-    heard: Duration,
+    last_received_at: Duration,
     silent: bool,
 }
 
-impl Link {
+impl ExchangePool {
     /// A link with no connection yet.
     pub fn new(address: SocketAddr, silence: Duration) -> Self {
         Self {
@@ -105,11 +105,11 @@
             conns: Vec::new(),
             queue: VecDeque::new(),
             next_try: Duration::ZERO,
-            pause: PAUSE.0,
+            pause: CONNECT_BACKOFF.0,
             dropped: false,
             collect_at: None,
             tried: false,
-            heard: Duration::ZERO,
+            last_received_at: Duration::ZERO,
             silent: false,
         }
     }
@@ -147,15 +147,15 @@
     }
 
     fn best(&mut self) -> Option<&mut Conn> {
-        let fit = self.conns.iter_mut().filter(|c| c.outbox.is_open());
-        fit.max_by_key(|c| (!c.retired, c.quiet_since.is_none(), c.heard, c.id))
+        let fit = self.conns.iter_mut().filter(|c| c.writes.is_open());
+        fit.max_by_key(|c| (!c.retired, c.quiet_since.is_none(), c.last_received_at, c.id))
     }
 
     /// Sends a set-up, or queues it for the connect that is due now.
     pub fn start(&mut self, now: Duration, call: &CallId, bytes: Vec<u8>) {
         match self.best().filter(|c| !c.retired) {
             Some(conn) => {
-                conn.outbox.push(&bytes);
+                conn.writes.enqueue(&bytes);
                 conn.set_ups.insert(call.clone());
                 conn.quiet_since.get_or_insert(now);
             }
@@ -173,15 +173,15 @@
         if queued != self.queue.len() {
             return; // it never left
         }
-        let carrier = self.conns.iter_mut().find(|c| c.set_ups.contains(call) && c.outbox.is_open());
+        let carrier = self.conns.iter_mut().find(|c| c.set_ups.contains(call) && c.writes.is_open());
         if let Some(conn) = carrier {
             conn.set_ups.remove(call);
-            conn.outbox.push(&bytes);
+            conn.writes.enqueue(&bytes);
             return;
         }
-        let room = self.listed && self.queue.len() < WAITING;
+        let room = self.listed && self.queue.len() < MAX_QUEUED_RELEASES;
         match self.best() {
-            Some(conn) => conn.outbox.push(&bytes),
+            Some(conn) => conn.writes.enqueue(&bytes),
             None if room => {
                 self.queue.push_back((None, bytes));
                 self.next_try = self.next_try.min(now + self.pause);
@@ -191,10 +191,10 @@
     }
 
     /// Something was heard on a connection; of a set-up, if a call is named.
-    pub fn heard(&mut self, now: Duration, id: ConnId, call: Option<&CallId>) {
-        (self.heard, self.silent) = (now, false);
+    pub fn on_line(&mut self, now: Duration, id: ConnId, call: Option<&CallId>) {
+        (self.last_received_at, self.silent) = (now, false);
         let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) else { return };
-        (conn.heard, conn.deaf_since) = (now, None);
+        (conn.last_received_at, conn.stalled_since) = (now, None);
         if let Some(call) = call {
             conn.set_ups.remove(call);
         }
@@ -202,22 +202,25 @@
         conn.retired = false;
         // The others get no more set-ups. They stay open, since what ends a standing call comes on the
         // connection of its set-up: a release that crossed a close would wait for the next one opened.
-        self.conns.iter_mut().filter(|c| c.id != id && c.heard < now).for_each(|c| c.retired = true);
+        self.conns
+            .iter_mut()
+            .filter(|c| c.id != id && c.last_received_at < now)
+            .for_each(|c| c.retired = true);
     }
 
     /// The state of the group was told on a connection; after the first time that is news to all of them.
-    pub fn told(&mut self, now: Duration, id: ConnId) {
+    pub fn on_group_state(&mut self, now: Duration, id: ConnId) {
         let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) else { return };
-        if std::mem::replace(&mut conn.told, true) {
-            let deaf = self.conns.iter_mut().filter(|c| c.id != id && now >= c.heard + DEAF.0);
-            deaf.for_each(|c| c.deaf_since = c.deaf_since.or(Some(now)));
+        if std::mem::replace(&mut conn.notified, true) {
+            let deaf = self.conns.iter_mut().filter(|c| c.id != id && now >= c.last_received_at + STALLED.0);
+            deaf.for_each(|c| c.stalled_since = c.stalled_since.or(Some(now)));
         }
     }
 
     /// After what was read last, a connection is in the middle of a line or not.
-    pub fn reading(&mut self, now: Duration, id: ConnId, half: bool) {
+    pub fn on_read(&mut self, now: Duration, id: ConnId, is_partial: bool) {
         if let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) {
-            conn.half = half.then(|| conn.half.unwrap_or(now));
+            conn.partial_line_since = is_partial.then(|| conn.partial_line_since.unwrap_or(now));
         }
     }
 
@@ -226,45 +229,47 @@
     ///
     /// Guards against answers and releases that wait for ever behind one that broke off or never came, and
     /// against connections to machines that vanished: nothing else ever ends those.
-    pub fn look(&self, now: Duration) {
-        let left = !self.listed && now >= self.left + LEFT;
+    pub fn sweep(&self, now: Duration) {
+        let left = !self.listed && now >= self.left + REMOVED_LINGER;
         let over = |since: Option<Duration>, limit| since.is_some_and(|since| now >= since + limit);
-        let useless = |c: &&Conn| left || over(c.half, HALF) || over(c.deaf_since, DEAF.1);
-        self.conns.iter().filter(useless).for_each(|c| c.outbox.close());
+        let useless = |c: &&Conn| {
+            left || over(c.partial_line_since, PARTIAL_LINE_TIMEOUT) || over(c.stalled_since, STALLED.1)
+        };
+        self.conns.iter().filter(useless).for_each(|c| c.writes.close());
     }
 
     /// Closes all connections once what is queued has been written.
     pub fn close(&self) {
-        self.conns.iter().for_each(|c| c.outbox.close());
+        self.conns.iter().for_each(|c| c.writes.close());
     }
 
     /// Writes straight back on a connection.
     pub fn answer(&self, id: ConnId, bytes: &[u8]) {
         if let Some(conn) = self.conns.iter().find(|c| c.id == id) {
-            conn.outbox.push(bytes);
+            conn.writes.enqueue(bytes);
         }
     }
 
     /// A connect succeeded: what was queued goes out on it.
-    pub fn connected(&mut self, now: Duration, id: ConnId, outbox: Shared) {
-        (self.connecting, self.dropped, self.tried, self.pause) = (false, false, true, PAUSE.0);
+    pub fn connected(&mut self, now: Duration, id: ConnId, writes: SharedWriteBuffer) {
+        (self.connecting, self.dropped, self.tried, self.pause) = (false, false, true, CONNECT_BACKOFF.0);
         self.collect_at = self.collect_at.filter(|at| *at > now);
-        (self.heard, self.silent) = (now, false);
+        (self.last_received_at, self.silent) = (now, false);
         let mut set_ups = BTreeSet::new();
         for (call, bytes) in self.queue.drain(..) {
-            outbox.push(&bytes);
+            writes.enqueue(&bytes);
             set_ups.extend(call);
         }
         let quiet_since = (!set_ups.is_empty()).then_some(now);
         self.conns.push(Conn {
             id,
-            outbox,
-            heard: now,
+            writes,
+            last_received_at: now,
             set_ups,
             quiet_since,
-            half: None,
-            told: false,
-            deaf_since: None,
+            partial_line_since: None,
+            notified: false,
+            stalled_since: None,
             retired: false,
         });
     }
@@ -274,7 +279,7 @@
         (self.connecting, self.tried) = (false, true);
         self.silent |= failure == Failure::Silent;
         self.next_try = now + self.pause;
-        self.pause = (self.pause * 2).min(PAUSE.1);
+        self.pause = (self.pause * 2).min(CONNECT_BACKOFF.1);
         let set_ups = self.queue.iter().filter_map(|(call, _)| call.clone()).collect();
         self.queue.retain(|(call, _)| call.is_none());
         let ended = failure == Failure::Refused && std::mem::take(&mut self.dropped);
@@ -288,7 +293,7 @@
     pub fn closed(&mut self, now: Duration, id: ConnId) -> Vec<CallId> {
         let Some(at) = self.conns.iter().position(|c| c.id == id) else { return Vec::new() };
         let conn = self.conns.swap_remove(at);
-        self.collect_at = Some(now + COLLECT);
+        self.collect_at = Some(now + RELEASE_COLLECT_DELAY);
         if self.conns.is_empty() {
             self.dropped = true;
             self.next_try = now;
@@ -297,28 +302,28 @@
     }
 
     /// A new process has taken the place of the old one: its connections lead nowhere.
-    pub fn renew(&mut self, now: Duration) {
+    pub fn replace_connections(&mut self, now: Duration) {
         self.conns.iter_mut().for_each(|c| c.retired = true);
-        (self.next_try, self.pause) = (now, PAUSE.0);
+        (self.next_try, self.pause) = (now, CONNECT_BACKOFF.0);
     }
 
     /// Nothing has been heard for a while; if calls stand there, it is to be seen why.
     pub fn is_idle(&self, now: Duration) -> bool {
-        now >= self.heard + IDLE
+        now >= self.last_received_at + IDLE
     }
 
     /// It has been out of reach for so long that what stood there must be taken for over.
     pub fn is_out_of_reach(&self, now: Duration) -> bool {
-        self.silent && now >= self.heard + OUT_OF_REACH
+        self.silent && now >= self.last_received_at + OUT_OF_REACH
     }
 
     /// Whether there is room for another connection; if not, the one heard least lately is closed.
     pub fn make_room(&self) -> bool {
-        if self.conns.len() >= MOST {
-            let fit = self.conns.iter().filter(|c| c.outbox.is_open());
-            fit.min_by_key(|c| c.heard).into_iter().for_each(|c| c.outbox.close());
+        if self.conns.len() >= MAX_CONNECTIONS {
+            let fit = self.conns.iter().filter(|c| c.writes.is_open());
+            fit.min_by_key(|c| c.last_received_at).into_iter().for_each(|c| c.writes.close());
         }
-        self.conns.len() < MOST
+        self.conns.len() < MAX_CONNECTIONS
     }
 
     /// Whether a connect should be made now; `missed`: calls stand there and nothing is heard of them.
@@ -327,12 +332,12 @@
         // Guards against a machine that vanished and came back: its old connections stay open and silent.
         let collect = self.collect_at.is_some_and(|at| now >= at);
         // One that has just ended is made good when its releases are collected.
-        let open = self.conns.iter().filter(|c| c.outbox.is_open()).count();
-        let few = open < KEPT && self.collect_at.is_none();
+        let open = self.conns.iter().filter(|c| c.writes.is_open()).count();
+        let few = open < MIN_IDLE_CONNECTIONS && self.collect_at.is_none();
         let useless = missed
             || collect
             || few
-            || self.conns.iter().all(|c| c.retired || silent(c) || !c.outbox.is_open());
+            || self.conns.iter().all(|c| c.retired || silent(c) || !c.writes.is_open());
         // A call's release comes on the next connection opened, so drains and losses keep a link wanted.
         self.listed && useless && !self.connecting && now >= self.next_try
     }
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,9 @@
+//! Sockets, and the fronts that connect the protocols' state machines to the core.
+
+pub mod client_connections;
+pub mod connection;
+pub mod enumeration;
+pub mod exchange_pool;
+pub mod platform;
+pub mod sockets;
+pub mod standby;
--- a/src/wire/platform.rs
+++ b/src/net/platform.rs
@@ -14,22 +14,23 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use super::driver::{Clock, Shared, Timed};
+use super::connection::{Clock, SharedWriteBuffer, Timed};
 use super::enumeration::{self, Resolved};
-use super::link::{ConnId, Failure, Link};
-use super::sip::{Message, Start};
-use super::{callers::Callers, coordinator, jsonl, sip, sockets};
+use super::exchange_pool::{ConnId, ExchangePool, Failure};
+use super::{client_connections::ClientConnections, sockets};
+use crate::call::calls::Origin;
+use crate::call::core::{Core, Effect, Reply, Request, CLEARED, CUT};
 use crate::interface::*;
 use crate::lifecycle::config::{Config, Listed, Update};
-use crate::memory::calls::Origin;
-use crate::memory::core::{Core, Effect, Reply, Request, CLEARED, CUT};
+use crate::protocol::sip::{Message, Start};
+use crate::protocol::{coordinator, jsonl, sip};
 use crate::Controller;
 
 /// Taken off what the caller waits, so that the answer is with it in time.
-const ON_THE_WAY: Duration = Duration::from_millis(20);
+const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// A release that finds no caller connection waits so long, and so many wait at most.
 const RELEASE_WAIT: Duration = Duration::from_secs(8);
-const RELEASES: usize = 8192;
+const MAX_WAITING_RELEASES: usize = 8192;
 /// Share of the descriptors for connections of callers; they hold a third at most by themselves.
 const CALLERS_SHARE: f64 = 0.6;
 /// A release that is not heard of for so long is sent again over another connection, so often at most:
@@ -38,7 +39,7 @@
 /// Guards against releases that went to a caller that does not follow the protocol, or crossed a close.
 const UNHEARD: (Duration, u32) = (Duration::from_millis(300), 4);
 /// Set-ups open on one connection at most.
-const SET_UPS: usize = 1024;
+const MAX_SET_UPS_PER_CONNECTION: usize = 1024;
 /// Circuits that one call may take: more than any bearer service needs (H12, 30 channels).
 const WIDEST: f64 = 64.0;
 /// Longest time that a caller may say it waits.
@@ -84,11 +85,11 @@
     /// How long an exchange that has been sent a set-up may say nothing before another connection is opened.
     silence: Duration,
     pub(super) last_event: u64,
-    callers: Callers,
+    clients: ClientConnections,
     invites: HashMap<CallId, Invite>,
     releases: HashMap<CallId, Sent>,
     waiting: VecDeque<Release>,
-    links: BTreeMap<ExchangeId, Link>,
+    pools: BTreeMap<ExchangeId, ExchangePool>,
     next_conn: u64,
     draining: bool,
     /// Nothing new is opened any more.
@@ -128,11 +129,11 @@
                 connect_timeout: config.connect_timeout,
                 silence: config.settings.classes.iter().map(|c| c.aim / 2).min().unwrap_or_default(),
                 last_event: config.known_index,
-                callers: Callers::new(most_callers(config)),
+                clients: ClientConnections::new(most_callers(config)),
                 invites: HashMap::new(),
                 releases: HashMap::new(),
                 waiting: VecDeque::new(),
-                links: BTreeMap::new(),
+                pools: BTreeMap::new(),
                 next_conn: 0,
                 draining: false,
                 stopped: false,
@@ -163,7 +164,7 @@
     /// the file's.
     pub fn reload(&mut self, config: &Config) {
         (self.peers, self.peers_all) = (config.peers.clone(), config.peers_all);
-        self.callers.most = most_callers(config);
+        self.clients.most = most_callers(config);
         if config.coordinator.is_none() {
             self.apply_known(config);
         }
@@ -202,7 +203,7 @@
     /// Guards against requests that are taken in the last moment and end with the program: whoever finds its
     /// connection closed asks another router.
     pub fn close_idle(&self) {
-        self.callers.close_idle(false);
+        self.clients.close_idle(false);
     }
 
     /// Answers what is still open and closes all connections, before the program ends. What an exchange
@@ -211,21 +212,21 @@
         self.core.finish(self.clock.now());
         self.flush();
         let looked_up: Vec<CallId> = self.invites.keys().cloned().collect();
-        looked_up.iter().for_each(|id| self.turn_away(id, 503));
+        looked_up.iter().for_each(|id| self.answer_unrouted(id, 503));
         self.stopped = true;
-        self.links.values().for_each(Link::close);
-        self.callers.close_idle(true);
+        self.pools.values().for_each(ExchangePool::close);
+        self.clients.close_idle(true);
     }
 
     /// Connections to each exchange, for the console.
-    pub fn links(&self) -> impl Iterator<Item = (&ExchangeId, &Link)> {
-        self.links.iter()
+    pub fn pools(&self) -> impl Iterator<Item = (&ExchangeId, &ExchangePool)> {
+        self.pools.iter()
     }
 
     /// Whether every listed exchange has been reached or has failed to answer; the group states that the
     /// decisions need have then come in.
     fn is_ready(&self) -> bool {
-        let tried = self.links.values().filter(|l| l.is_listed()).all(Link::is_tried);
+        let tried = self.pools.values().filter(|l| l.is_listed()).all(ExchangePool::is_tried);
         !self.draining && (tried || self.clock.now() > self.started + 2 * self.connect_timeout)
     }
 
@@ -235,22 +236,23 @@
         let now = self.clock.now();
         let lines = &update.lines;
         if kind != ListKind::Changes {
-            self.links.values_mut().for_each(|l| l.set_listed(now, false));
+            self.pools.values_mut().for_each(|l| l.set_listed(now, false));
         }
         let before: BTreeMap<ExchangeId, Option<Duration>> =
             self.core.exchanges.lines().map(|e| (e.exchange.clone(), e.up_since)).collect();
         for Listed { entry, address } in lines {
             let id = &entry.exchange;
-            let link = self.links.entry(id.clone()).or_insert_with(|| Link::new(*address, self.silence));
-            link.set_listed(now, entry.health != Health::Gone);
-            let moved = std::mem::replace(&mut link.address, *address) != *address;
+            let pool =
+                self.pools.entry(id.clone()).or_insert_with(|| ExchangePool::new(*address, self.silence));
+            pool.set_listed(now, entry.health != Health::Gone);
+            let moved = std::mem::replace(&mut pool.address, *address) != *address;
             if moved || before.get(id).is_some_and(|up| *up != entry.up_since) {
-                link.renew(now);
+                pool.replace_connections(now);
             }
             info!(self.log, "listed"; "exchange" => &*id.0, "place" => entry.place.0,
                 "health" => ?entry.health, "up_since" => ?entry.up_since);
         }
-        self.links.retain(|_, l| !l.is_spent());
+        self.pools.retain(|_, l| !l.is_spent());
         let entries = lines.iter().map(|l| l.entry.clone()).collect();
         self.core.directory(now, kind, entries);
         self.flush();
@@ -279,11 +281,11 @@
 
     // ---- callers -------------------------------------------------------------------------------
 
-    pub(super) fn caller_message(&mut self, caller: u64, message: Message) {
+    pub(super) fn on_client_message(&mut self, caller: u64, message: Message) {
         let now = self.clock.now();
-        self.callers.heard(now, caller);
+        self.clients.on_message(now, caller);
         let Some(id) = message.call_id().map(|id| CallId(id.into())) else {
-            return self.turn_down(caller, 400, &message.echoed(), "no Call-ID");
+            return self.reject(caller, 400, &message.echoed(), "no Call-ID");
         };
         let Start::Request { method, user } = &message.start else {
             let of = message.header("CSeq").unwrap_or_default();
@@ -298,23 +300,23 @@
             "ACK" => {}
             "CANCEL" => {
                 let status = if self.invites.contains_key(&id) { 200 } else { 481 };
-                self.say(caller, &sip::response(status, &echoed, None, b""));
+                self.send_to_client(caller, &sip::response(status, &echoed, None, b""));
                 self.withdraw(now, &id, true);
             }
             "BYE" => {
                 // After a restart it is not known which calls stand; the release is passed on all the same.
                 let known = self.core.calls.open.contains_key(&id) || self.core.calls.is_over(&id);
                 let status = if known { 200 } else { 481 };
-                self.say(caller, &sip::response(status, &echoed, None, b""));
+                self.send_to_client(caller, &sip::response(status, &echoed, None, b""));
                 self.releases.remove(&id);
                 let cause = sip::cause_of(message.header("Reason"));
                 self.core.hang_up(now, &id, cause);
             }
             "OPTIONS" => {
                 let status = if self.is_ready() { 200 } else { 503 };
-                self.say(caller, &sip::response(status, &echoed, None, b""));
+                self.send_to_client(caller, &sip::response(status, &echoed, None, b""));
             }
-            _ => self.turn_down(caller, 501, &echoed, "method not served"),
+            _ => self.reject(caller, 501, &echoed, "method not served"),
         }
         self.flush();
     }
@@ -329,10 +331,10 @@
         echoed: String,
     ) {
         let Some(offer) = self.offer(&id, number, message) else {
-            return self.turn_down(caller, 400, &echoed, "set-up not understood");
+            return self.reject(caller, 400, &echoed, "set-up not understood");
         };
         let Ok(description) = std::str::from_utf8(&message.body) else {
-            return self.turn_down(caller, 400, &echoed, "description is not UTF-8");
+            return self.reject(caller, 400, &echoed, "description is not UTF-8");
         };
         let (dest, offer) = offer;
         // Guards against a second answer: an id is never reused, so one that comes again is the same set-up,
@@ -342,23 +344,23 @@
         if let Some((origin, same)) = asked.or(held) {
             if origin == caller && same {
                 debug!(self.log, "set-up came twice"; "call" => &*id.0);
-                return self.callers.offence(caller);
+                return self.clients.record_protocol_error(caller);
             }
-            return self.turn_down(caller, 482, &echoed, "id of another set-up");
+            return self.reject(caller, 482, &echoed, "id of another set-up");
         }
         if self.core.calls.is_over(&id) {
-            return self.turn_down(caller, 482, &echoed, "id of a set-up that is over");
+            return self.reject(caller, 482, &echoed, "id of a set-up that is over");
         }
         if let Some(place) = dest.filter(|d| !self.core.exchanges.serves(*d)) {
             debug!(self.log, "no such exchange"; "place" => place.0);
-            return self.turn_down(caller, 404, &echoed, "no such destination");
+            return self.reject(caller, 404, &echoed, "no such destination");
         }
         // Guards memory, and the turn of the others, against a caller that floods one connection.
-        if self.callers.set_ups(caller) >= SET_UPS {
-            return self.say(caller, &sip::response(503, &echoed, self.hold_off, b""));
+        if self.clients.set_ups(caller) >= MAX_SET_UPS_PER_CONNECTION {
+            return self.send_to_client(caller, &sip::response(503, &echoed, self.hold_off, b""));
         }
         self.invites.insert(id.clone(), Invite { caller, echoed });
-        self.callers.begin(caller, id);
+        self.clients.begin(caller, id);
         let request = Request { origin: Origin(caller), offer, description: description.into() };
         match dest {
             Some(_) => self.core.request(now, request),
@@ -390,7 +392,7 @@
             class,
             tenant: 0,
             number,
-            remaining: limit.saturating_sub(ON_THE_WAY),
+            remaining: limit.saturating_sub(RESPONSE_MARGIN),
             dest: dest.unwrap_or(Place(0)),
             width,
             via,
@@ -402,10 +404,10 @@
     }
 
     /// A message that can't be served.
-    fn turn_down(&mut self, caller: u64, status: u16, echoed: &str, why: &str) {
+    fn reject(&mut self, caller: u64, status: u16, echoed: &str, why: &str) {
         debug!(self.log, "turned down"; "caller" => caller, "status" => status, "why" => why);
-        self.say(caller, &sip::response(status, echoed, None, b""));
-        self.callers.offence(caller);
+        self.send_to_client(caller, &sip::response(status, echoed, None, b""));
+        self.clients.record_protocol_error(caller);
     }
 
     /// Finds the destination of a call that brings only a number, then routes it with the time it has left.
@@ -427,17 +429,17 @@
                     request.offer.remaining = deadline.saturating_sub(now);
                     platform.core.request(now, request);
                 }
-                Resolved::Nowhere => platform.turn_away(&id, 404),
-                Resolved::Unknown => platform.turn_away(&id, 503),
+                Resolved::Nowhere => platform.answer_unrouted(&id, 404),
+                Resolved::Unknown => platform.answer_unrouted(&id, 503),
             }
             platform.flush();
         });
     }
 
     /// Final answer to a call that never reached the core.
-    fn turn_away(&mut self, id: &CallId, status: u16) {
+    fn answer_unrouted(&mut self, id: &CallId, status: u16) {
         if let Some(invite) = self.take_invite(id) {
-            self.say(invite.caller, &sip::response(status, &invite.echoed, None, b""));
+            self.send_to_client(invite.caller, &sip::response(status, &invite.echoed, None, b""));
         }
     }
 
@@ -445,7 +447,7 @@
     fn withdraw(&mut self, now: Duration, id: &CallId, tell: bool) {
         if let Some(invite) = self.take_invite(id) {
             if tell {
-                self.say(invite.caller, &sip::response(487, &invite.echoed, None, b""));
+                self.send_to_client(invite.caller, &sip::response(487, &invite.echoed, None, b""));
             }
             self.core.hang_up(now, id, CLEARED);
         }
@@ -453,22 +455,22 @@
 
     fn take_invite(&mut self, id: &CallId) -> Option<Invite> {
         let invite = self.invites.remove(id)?;
-        self.callers.end(invite.caller, id);
+        self.clients.end(invite.caller, id);
         Some(invite)
     }
 
-    fn say(&self, caller: u64, bytes: &[u8]) {
-        self.callers.say(caller, bytes);
+    fn send_to_client(&self, caller: u64, bytes: &[u8]) {
+        self.clients.send(caller, bytes);
     }
 
     /// After what was read last, a caller is in the middle of a message or not.
-    pub(super) fn caller_reading(&mut self, caller: u64, half: bool) {
-        self.callers.reading(self.clock.now(), caller, half);
+    pub(super) fn on_client_read(&mut self, caller: u64, half: bool) {
+        self.clients.on_read(self.clock.now(), caller, half);
     }
 
-    pub(super) fn caller_opened(&mut self, outbox: Shared) -> Option<u64> {
+    pub(super) fn on_client_connected(&mut self, writes: SharedWriteBuffer) -> Option<u64> {
         let (now, id) = (self.clock.now(), self.conn());
-        if !self.callers.admit(now, id, outbox) {
+        if !self.clients.admit(now, id, writes) {
             return None;
         }
         for release in std::mem::take(&mut self.waiting) {
@@ -479,9 +481,9 @@
         Some(id)
     }
 
-    pub(super) fn caller_closed(&mut self, caller: u64) {
+    pub(super) fn on_client_disconnected(&mut self, caller: u64) {
         let now = self.clock.now();
-        for id in self.callers.remove(caller) {
+        for id in self.clients.remove(caller) {
             self.withdraw(now, &id, false);
         }
         // Guards against releases lost in a close that crossed them.
@@ -493,12 +495,12 @@
 
     /// Tells a call's client that it is over: over its own connection, else over any, else a little later.
     fn release(&mut self, caller: Option<u64>, call: CallId, cause: u32) {
-        self.send_release(self.callers.for_release(caller, None), call, cause, 1);
+        self.send_release(self.clients.for_release(caller, None), call, cause, 1);
     }
 
     fn release_again(&mut self, call: &CallId) {
         if let Some(sent) = self.releases.remove(call).filter(|r| r.times < UNHEARD.1) {
-            let other = self.callers.for_release(None, Some(sent.caller));
+            let other = self.clients.for_release(None, Some(sent.caller));
             self.send_release(other, call.clone(), sent.cause, sent.times + 1);
         }
     }
@@ -506,11 +508,11 @@
     fn send_release(&mut self, caller: Option<u64>, call: CallId, cause: u32, times: u32) {
         let at = self.clock.now();
         if let Some(caller) = caller {
-            self.say(caller, &sip::bye(&call.0, cause));
+            self.send_to_client(caller, &sip::bye(&call.0, cause));
             self.releases.insert(call, Sent { caller, cause, at, times });
             return;
         }
-        if self.waiting.len() >= RELEASES {
+        if self.waiting.len() >= MAX_WAITING_RELEASES {
             self.waiting.pop_front();
         }
         self.waiting.push_back(Release { call, cause, until: at + RELEASE_WAIT, times });
@@ -522,10 +524,10 @@
         let now = self.clock.now();
         let id = CallId(line.tag.as_str().into());
         let answers = matches!(line.verb.as_str(), "STARTED" | "FINISH");
-        let Some(link) = self.links.get_mut(exchange) else { return };
-        link.heard(now, conn, answers.then_some(&id));
+        let Some(pool) = self.pools.get_mut(exchange) else { return };
+        pool.on_line(now, conn, answers.then_some(&id));
         if line.verb == "LOAD" {
-            link.told(now, conn);
+            pool.on_group_state(now, conn);
         }
         let report = line.load.as_deref().map(|load| self.report(load)).unwrap_or_default();
         match line.verb.as_str() {
@@ -552,14 +554,14 @@
     /// After what was read last, an exchange is in the middle of a line or not.
     pub(super) fn exchange_reading(&mut self, exchange: &ExchangeId, conn: ConnId, half: bool) {
         let now = self.clock.now();
-        if let Some(link) = self.links.get_mut(exchange) {
-            link.reading(now, conn, half);
+        if let Some(pool) = self.pools.get_mut(exchange) {
+            pool.on_read(now, conn, half);
         }
     }
 
     fn answer(&self, exchange: &ExchangeId, conn: ConnId, bytes: &[u8]) {
-        if let Some(link) = self.links.get(exchange) {
-            link.answer(conn, bytes);
+        if let Some(pool) = self.pools.get(exchange) {
+            pool.answer(conn, bytes);
         }
     }
 
@@ -569,27 +571,27 @@
 
     fn connect(&mut self, exchange: &ExchangeId) {
         let (now, id) = (self.clock.now(), ConnId(self.conn()));
-        let Some(link) = self.links.get_mut(exchange) else { return };
-        let missed = link.is_idle(now) && self.core.stands_at(exchange);
-        if missed && link.is_out_of_reach(now) {
+        let Some(pool) = self.pools.get_mut(exchange) else { return };
+        let missed = pool.is_idle(now) && self.core.stands_at(exchange);
+        if missed && pool.is_out_of_reach(now) {
             warn!(self.log, "out of reach, its calls are released"; "exchange" => &*exchange.0);
             self.core.cut(now, exchange);
             return self.flush();
         }
-        if self.stopped || !link.wants_connect(now, missed) || !link.make_room() {
+        if self.stopped || !pool.wants_connect(now, missed) || !pool.make_room() {
             return;
         }
-        link.connecting = true;
-        let (address, within) = (link.address, self.connect_timeout);
+        pool.connecting = true;
+        let (address, within) = (pool.address, self.connect_timeout);
         let Some(me) = self.me.upgrade() else { return };
         tokio::task::spawn_local(sockets::dial(me, exchange.clone(), id, address, within));
     }
 
-    pub(super) fn exchange_up(&mut self, exchange: &ExchangeId, id: ConnId, outbox: Shared) {
+    pub(super) fn exchange_up(&mut self, exchange: &ExchangeId, id: ConnId, writes: SharedWriteBuffer) {
         let now = self.clock.now();
         debug!(self.log, "exchange connected"; "exchange" => &*exchange.0, "conn" => id.0);
-        if let Some(link) = self.links.get_mut(exchange) {
-            link.connected(now, id, outbox);
+        if let Some(pool) = self.pools.get_mut(exchange) {
+            pool.connected(now, id, writes);
         }
     }
 
@@ -597,10 +599,10 @@
         let now = self.clock.now();
         let refused = error.kind() == io::ErrorKind::ConnectionRefused;
         debug!(self.log, "no connection"; "exchange" => &*exchange.0, "error" => %error);
-        let Some(link) = self.links.get_mut(exchange) else { return };
-        let (unsent, died) = link.failed(now, if refused { Failure::Refused } else { Failure::Silent });
+        let Some(pool) = self.pools.get_mut(exchange) else { return };
+        let (unsent, died) = pool.failed(now, if refused { Failure::Refused } else { Failure::Silent });
         for id in unsent {
-            self.broke(exchange, &id, false);
+            self.on_connection_reset(exchange, &id, false);
         }
         if died {
             // Its connections broke and nothing listens any more: what stood there was cut with it.
@@ -612,20 +614,20 @@
     pub(super) fn exchange_down(&mut self, exchange: &ExchangeId, id: ConnId, ended: &io::Result<()>) {
         let now = self.clock.now();
         debug!(self.log, "exchange disconnected"; "exchange" => &*exchange.0, "conn" => id.0, "end" => ?ended);
-        let Some(link) = self.links.get_mut(exchange) else { return };
-        for id in link.closed(now, id) {
+        let Some(pool) = self.pools.get_mut(exchange) else { return };
+        for id in pool.closed(now, id) {
             // Guards against circuits held for nobody: the set-up may have run, and its answer been spoilt or
             // cut off. Whatever stands there is released before the call goes there again.
             let exchange_id = Some(exchange.clone());
             self.carry_out(Effect::Finish { exchange: exchange_id, call: id.clone(), cause: CLEARED });
-            self.broke(exchange, &id, true);
+            self.on_connection_reset(exchange, &id, true);
         }
         self.connect(exchange);
         self.flush();
     }
 
-    fn broke(&mut self, exchange: &ExchangeId, id: &CallId, ran: bool) {
-        let status = Link::status(ran);
+    fn on_connection_reset(&mut self, exchange: &ExchangeId, id: &CallId, ran: bool) {
+        let status = ExchangePool::status(ran);
         if self.core.calls.open.get(id).is_some_and(|c| !c.stands) {
             let reply = Reply::Ended { status, cause: None, report: Vec::new() };
             self.core.reply(self.clock.now(), exchange, id, reply);
@@ -654,8 +656,8 @@
             Effect::Start { exchange, call, class, number, left, description } => {
                 let class = self.class_names.get(class).map_or("", String::as_str);
                 let bytes = jsonl::start(&call.0, class, &number, left.as_millis(), &description);
-                if let Some(link) = self.links.get_mut(&exchange) {
-                    link.start(now, &call, bytes);
+                if let Some(pool) = self.pools.get_mut(&exchange) {
+                    pool.start(now, &call, bytes);
                 }
                 self.connect(&exchange);
             }
@@ -663,34 +665,34 @@
                 let bytes = jsonl::finish(&call.0, cause);
                 match exchange {
                     Some(exchange) => {
-                        if let Some(link) = self.links.get_mut(&exchange) {
-                            link.finish(now, &call, bytes);
+                        if let Some(pool) = self.pools.get_mut(&exchange) {
+                            pool.finish(now, &call, bytes);
                         }
                     }
                     None => {
-                        for link in self.links.values_mut().filter(|l| l.is_listed()) {
-                            link.finish(now, &call, bytes.clone());
+                        for pool in self.pools.values_mut().filter(|l| l.is_listed()) {
+                            pool.finish(now, &call, bytes.clone());
                         }
                     }
                 }
             }
             Effect::Answer { call, description, .. } => match self.take_invite(&call) {
                 Some(invite) => {
-                    self.callers.stood(invite.caller);
+                    self.clients.on_answered(invite.caller);
                     let answer = sip::response(200, &invite.echoed, None, description.as_bytes());
-                    self.say(invite.caller, &answer);
+                    self.send_to_client(invite.caller, &answer);
                 }
                 None => self.core.hang_up(now, &call, CUT),
             },
             Effect::Refuse { call, stay_away, .. } => {
                 if let Some(invite) = self.take_invite(&call) {
                     let wait = stay_away.map(|d| d.as_millis());
-                    self.say(invite.caller, &sip::response(503, &invite.echoed, wait, b""));
+                    self.send_to_client(invite.caller, &sip::response(503, &invite.echoed, wait, b""));
                 }
             }
             Effect::Fail { call, .. } => {
                 if let Some(invite) = self.take_invite(&call) {
-                    self.say(invite.caller, &sip::response(500, &invite.echoed, None, b""));
+                    self.send_to_client(invite.caller, &sip::response(500, &invite.echoed, None, b""));
                 }
             }
             Effect::Release { origin, call, cause } => self.release(origin.map(|o| o.0), call, cause),
@@ -733,18 +735,18 @@
         self.flush();
     }
 
-    fn look(&mut self, now: Duration) {
+    fn sweep(&mut self, now: Duration) {
         let unheard = self.releases.iter().filter(|(_, r)| now >= r.at + UNHEARD.0);
         let unheard: Vec<CallId> = unheard.map(|(id, _)| id.clone()).collect();
         unheard.iter().for_each(|call| self.release_again(call));
-        for caller in self.callers.look(now) {
+        for caller in self.clients.sweep(now) {
             debug!(self.log, "caller closed"; "caller" => caller, "why" => "half a message");
-            self.say(caller, &sip::response(408, "", None, b""));
-            self.callers.close(caller);
+            self.send_to_client(caller, &sip::response(408, "", None, b""));
+            self.clients.close(caller);
         }
-        self.links.values().for_each(|l| l.look(now));
-        self.links.retain(|_, l| !l.is_spent());
-        let exchanges: Vec<ExchangeId> = self.links.keys().cloned().collect();
+        self.pools.values().for_each(|l| l.sweep(now));
+        self.pools.retain(|_, l| !l.is_spent());
+        let exchanges: Vec<ExchangeId> = self.pools.keys().cloned().collect();
         exchanges.iter().for_each(|e| self.connect(e));
     }
 }
--- a/src/wire/sockets.rs
+++ b/src/net/sockets.rs
@@ -11,27 +11,27 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::Instant;
 
-use super::driver::{self, Outbox, Shared};
-use super::link::ConnId;
+use super::connection::{self, SharedWriteBuffer, WriteBuffer};
+use super::exchange_pool::ConnId;
 use super::platform::{Handle, DATAGRAM};
-use super::{coordinator, jsonl, sip};
 use crate::interface::ExchangeId;
+use crate::protocol::{coordinator, jsonl, sip};
 
 /// No word from the coordinator for so long, though a frame follows each second: it is connected anew.
 const COORDINATOR_SILENT: Duration = Duration::from_millis(2000);
 /// Two connects to it are so far apart at least.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
-/// How often links are looked after.
+/// How often pools are looked after.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Opens a connection to an exchange, and reads and writes on it until it ends.
 pub async fn dial(me: Handle, exchange: ExchangeId, id: ConnId, address: SocketAddr, within: Duration) {
-    match driver::connect(address, within).await {
+    match connection::connect(address, within).await {
         Ok(stream) => {
-            let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.1));
-            me.borrow_mut().exchange_up(&exchange, id, outbox.clone());
+            let writes: SharedWriteBuffer = Rc::new(WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.1));
+            me.borrow_mut().exchange_up(&exchange, id, writes.clone());
             let mut decoder = jsonl::Decoder::default();
-            let ended = driver::pump(stream, &outbox, |bytes| {
+            let ended = connection::run_connection(stream, &writes, |bytes| {
                 decoder.feed(bytes);
                 loop {
                     match decoder.take() {
@@ -48,20 +48,20 @@
                 }
             })
             .await;
-            outbox.close();
+            writes.close();
             me.borrow_mut().exchange_down(&exchange, id, &ended);
         }
         Err(e) => me.borrow_mut().exchange_failed(&exchange, &e),
     }
 }
 
-/// Does what is due, when it is due, and looks after the links.
+/// Does what is due, when it is due, and looks after the pools.
 pub async fn keep_time(platform: Handle) {
     let (clock, due) = (platform.borrow().clock, platform.borrow().due.clone());
-    driver::keep_time(platform, clock, due, LOOK).await;
+    connection::keep_time(platform, clock, due, LOOK).await;
 }
 
-/// Takes connections of callers.
+/// Takes connections of clients.
 pub async fn accept(platform: Handle, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
@@ -77,27 +77,27 @@
         }
         // Guards against a rush of connections: those that make room for it are closed before the next comes.
         tokio::task::yield_now().await;
-        let outbox: Shared = Rc::new(Outbox::new(driver::BACKLOGS.0));
-        let Some(caller) = platform.borrow_mut().caller_opened(outbox.clone()) else {
+        let writes: SharedWriteBuffer = Rc::new(WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.0));
+        let Some(caller) = platform.borrow_mut().on_client_connected(writes.clone()) else {
             debug!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
             continue;
         };
         let platform = platform.clone();
         tokio::task::spawn_local(async move {
             let mut decoder = sip::Decoder::default();
-            let ended = driver::pump(stream, &outbox, |bytes| {
+            let ended = connection::run_connection(stream, &writes, |bytes| {
                 decoder.feed(bytes);
                 // What comes after the last word is not served.
-                while outbox.is_open() {
+                while writes.is_open() {
                     match decoder.take() {
-                        Ok(Some(message)) => platform.borrow_mut().caller_message(caller, message),
+                        Ok(Some(message)) => platform.borrow_mut().on_client_message(caller, message),
                         Ok(None) => {
-                            platform.borrow_mut().caller_reading(caller, decoder.is_amid());
+                            platform.borrow_mut().on_client_read(caller, decoder.is_amid());
                             return ControlFlow::Continue(());
                         }
                         Err(e) => {
                             debug!(platform.borrow().log, "caller closed"; "why" => e.why);
-                            outbox.push(&sip::response(e.status, "", None, b""));
+                            writes.enqueue(&sip::response(e.status, "", None, b""));
                             return ControlFlow::Break(());
                         }
                     }
@@ -105,11 +105,11 @@
                 ControlFlow::Break(())
             })
             .await;
-            outbox.close();
+            writes.close();
             if let Err(e) = ended {
                 debug!(platform.borrow().log, "caller connection broke"; "error" => %e);
             }
-            platform.borrow_mut().caller_closed(caller);
+            platform.borrow_mut().on_client_disconnected(caller);
         });
     }
 }
@@ -126,12 +126,12 @@
         };
         let (begun, heard) = (Instant::now(), Cell::new(Instant::now()));
         let listen = async {
-            let stream = driver::connect(at, within).await?;
-            let outbox = Outbox::new(driver::BACKLOGS.0);
-            outbox.push(&coordinator::hello(platform.borrow().last_event));
+            let stream = connection::connect(at, within).await?;
+            let writes = WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.0);
+            writes.enqueue(&coordinator::hello(platform.borrow().last_event));
             let mut decoder = coordinator::Decoder::default();
             heard.set(Instant::now());
-            let pump = driver::pump(stream, &outbox, |bytes| {
+            let pump = connection::run_connection(stream, &writes, |bytes| {
                 heard.set(Instant::now());
                 decoder.feed(bytes);
                 loop {
--- a/src/wire/standby.rs
+++ b/src/net/standby.rs
@@ -8,9 +8,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use super::driver::Clock;
-use super::vrrp::{Router, State};
+use super::connection::Clock;
 use crate::lifecycle::config::Vrrp;
+use crate::protocol::vrrp::{Router, State};
 
 /// Largest advertisement: eight bytes and 255 addresses.
 const DATAGRAM: usize = 8 + 4 * 255;
--- a/tests/enumeration.rs
+++ b/tests/enumeration.rs
@@ -9,8 +9,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use quartzspindle::wire::dns::{self, Lead, Message, Name, Naptr};
-use quartzspindle::wire::vrrp::{Advertisement, Router as Virtual, Setup, State};
+use quartzspindle::protocol::dns::{self, Lead, Message, Name, Naptr};
+use quartzspindle::protocol::vrrp::{Advertisement, Router as Virtual, Setup, State};
 use rstest::rstest;
 use serde_json::{json, Value};
 use stand::*;
--- /dev/null
+++ b/tests/exchange_pool.rs
@@ -0,0 +1,94 @@
+//! The connections to one exchange, fed by hand.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use quartzspindle::interface::CallId;
+use quartzspindle::net::connection::WriteBuffer;
+use quartzspindle::net::exchange_pool::{ConnId, ExchangePool, Failure};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn up() -> ExchangePool {
+    let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
+    pool.connected(ms(1000), ConnId(1), Rc::new(WriteBuffer::new(1000)));
+    pool
+}
+
+#[test]
+fn an_exchange_that_neither_speaks_nor_connects_is_out_of_reach_in_time_for_its_releases() {
+    let mut pool = up();
+    pool.on_line(ms(2000), ConnId(1), None);
+    assert!(!pool.is_idle(ms(3400)) && pool.is_idle(ms(3500)) && pool.wants_connect(ms(5000), true));
+    assert!(!pool.is_out_of_reach(ms(20_000)), "silence alone may be an idle night");
+    pool.failed(ms(5500), Failure::Silent);
+    assert!(!pool.is_out_of_reach(ms(9000)) && pool.is_out_of_reach(ms(9500)));
+    pool.on_line(ms(9600), ConnId(1), None);
+    assert!(!pool.is_out_of_reach(ms(20_000)));
+}
+
+#[test]
+fn only_a_refusal_after_a_loss_proves_that_a_process_died() {
+    let mut pool = up();
+    assert!(!pool.failed(ms(1100), Failure::Refused).1);
+    pool.closed(ms(1200), ConnId(1));
+    assert!(!pool.failed(ms(1300), Failure::Silent).1);
+    assert!(pool.failed(ms(1400), Failure::Refused).1);
+    assert!(!pool.failed(ms(1500), Failure::Refused).1, "told once");
+}
+
+/// Guards against what waits for an exchange that has gone, and against connects to its address, which
+/// another may have by now.
+#[test]
+fn nothing_is_kept_for_an_exchange_that_is_no_longer_listed() {
+    let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
+    pool.finish(ms(1000), &CallId("a".into()), vec![1]);
+    assert!(pool.wants_connect(ms(2000), false) && !pool.is_spent());
+    pool.set_listed(ms(2000), false);
+    pool.finish(ms(2100), &CallId("b".into()), vec![2]);
+    assert!(!pool.wants_connect(ms(3000), true) && pool.is_spent());
+}
+
+/// Guards against a connection on which nothing comes any more while its exchange lives: what it still tells
+/// there is lost. One that is merely idle stays open, for the releases of the calls set up on it.
+#[test]
+fn a_connection_that_goes_without_what_others_are_told_is_closed() {
+    let mut pool = up();
+    let outboxes = [Rc::new(WriteBuffer::new(1000)), Rc::new(WriteBuffer::new(1000))];
+    pool.connected(ms(1500), ConnId(2), outboxes[0].clone());
+    pool.connected(ms(1500), ConnId(3), outboxes[1].clone());
+    let tell = |pool: &mut ExchangePool, at, id| {
+        pool.on_line(at, ConnId(id), None);
+        pool.on_group_state(at, ConnId(id));
+    };
+    tell(&mut pool, ms(1510), 2); // the first of each connection is news to nobody else
+    tell(&mut pool, ms(1510), 3);
+    pool.sweep(ms(2500));
+    assert!(outboxes.iter().all(|o| o.is_open()), "idle is not deaf");
+    tell(&mut pool, ms(3000), 3);
+    tell(&mut pool, ms(3200), 3);
+    pool.sweep(ms(3050));
+    assert!(outboxes[0].is_open(), "news may be on its way");
+    pool.sweep(ms(3100));
+    assert!(!outboxes[0].is_open() && outboxes[1].is_open());
+}
+
+/// Guards against releases that were written to a connection after its end: they come on the next one
+/// opened, which must not be opened before its exchange has noticed.
+#[test]
+fn after_the_end_of_a_connection_another_is_opened_for_what_was_lost_on_it() {
+    let mut pool = up();
+    pool.connected(ms(1000), ConnId(2), Rc::new(WriteBuffer::new(1000)));
+    assert!(!pool.wants_connect(ms(1100), false));
+    pool.closed(ms(1200), ConnId(1));
+    assert!(!pool.wants_connect(ms(1400), false) && pool.wants_connect(ms(1450), false));
+    pool.connected(ms(1460), ConnId(3), Rc::new(WriteBuffer::new(1000)));
+    assert!(!pool.wants_connect(ms(9000), false));
+    for id in 4..6 {
+        assert!(pool.make_room());
+        pool.connected(ms(1500), ConnId(id), Rc::new(WriteBuffer::new(1000)));
+    }
+    assert!(!pool.make_room() && pool.open() == 4);
+}
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -7,8 +7,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use quartzspindle::call::exchanges::Exchanges;
 use quartzspindle::interface::{Entry, ExchangeId, Health, ListKind, Place};
-use quartzspindle::memory::exchanges::Exchanges;
 use rstest::rstest;
 use stand::*;
 
--- a/tests/protocols.rs
+++ b/tests/protocols.rs
@@ -1,6 +1,6 @@
 //! The protocols fed by hand: cut anywhere, garbled anyhow.
 
-use quartzspindle::wire::{coordinator, dns, jsonl, sip, vrrp::Advertisement};
+use quartzspindle::protocol::{coordinator, dns, jsonl, sip, vrrp::Advertisement};
 use rstest::rstest;
 
 const INVITE: &[u8] =
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use common::*;
-use quartzspindle::choice::Control;
 use quartzspindle::interface::*;
+use quartzspindle::policy::Control;
 
 fn sends_to(log: &[Action], place: u32) -> usize {
     log.iter().filter(|a| matches!(a, Action::Send { to, .. } if *to == exchange(place))).count()
