--- /dev/null
+++ b/src/net/platform/clients.rs
@@ -0,0 +1,222 @@
+//! The client side of the front: SIP requests in, answers out.
+
+use super::*;
+
+impl Platform {
+    pub(in crate::net) fn on_client_message(&mut self, client: u64, message: Message) {
+        let now = self.clock.now();
+        self.clients.on_message(now, client);
+        let Some(id) = message.call_id().map(|id| CallId(id.into())) else {
+            return self.reject(client, 400, &message.echoed(), "no Call-ID");
+        };
+        let Start::Request { method, user } = &message.start else {
+            let of = message.header("CSeq").unwrap_or_default();
+            if of.ends_with("BYE") && message.start != Start::Response(100) {
+                self.releases.remove(&id);
+            }
+            return;
+        };
+        let echoed = message.echoed();
+        match method.as_str() {
+            "INVITE" => self.invite(now, client, id, user.as_str().into(), &message, echoed),
+            "ACK" => {}
+            "CANCEL" => {
+                let status = if self.invites.contains_key(&id) { 200 } else { 481 };
+                self.send_to_client(client, &sip::response(status, &echoed, None, b""));
+                self.withdraw(now, &id, true);
+            }
+            "BYE" => {
+                // After a restart it is not known which calls stand; the release is passed on all the same.
+                let known = self.core.calls.open.contains_key(&id) || self.core.calls.is_over(&id);
+                let status = if known { 200 } else { 481 };
+                self.send_to_client(client, &sip::response(status, &echoed, None, b""));
+                self.releases.remove(&id);
+                let cause = sip::cause_of(message.header("Reason"));
+                self.core.hang_up(now, &id, cause);
+            }
+            "OPTIONS" => {
+                let status = if self.is_ready() { 200 } else { 503 };
+                self.send_to_client(client, &sip::response(status, &echoed, None, b""));
+            }
+            _ => self.reject(client, 501, &echoed, "method not served"),
+        }
+        self.flush();
+    }
+
+    pub(super) fn invite(
+        &mut self,
+        now: Duration,
+        client: u64,
+        id: CallId,
+        number: Arc<str>,
+        message: &Message,
+        echoed: String,
+    ) {
+        let Some(offer) = self.offer(&id, number, message) else {
+            return self.reject(client, 400, &echoed, "set-up not understood");
+        };
+        let Ok(description) = std::str::from_utf8(&message.body) else {
+            return self.reject(client, 400, &echoed, "description is not UTF-8");
+        };
+        let (dest, offer) = offer;
+        // Guards against a second answer: an id is never reused, so one that comes again is the same set-up,
+        // which is passed over, or somebody else's, which is told so and leaves the first alone.
+        let held = self.core.calls.open.get(&id).map(|c| (c.origin.0, &*c.description == description));
+        let asked = self.invites.get(&id).map(|i| (i.client, held.is_none_or(|h| h.1)));
+        if let Some((origin, same)) = asked.or(held) {
+            if origin == client && same {
+                debug!(self.log, "set-up came twice"; "call" => &*id.0);
+                return self.clients.record_protocol_error(client);
+            }
+            return self.reject(client, 482, &echoed, "id of another set-up");
+        }
+        if self.core.calls.is_over(&id) {
+            return self.reject(client, 482, &echoed, "id of a set-up that is over");
+        }
+        if let Some(place) = dest.filter(|d| !self.core.exchanges.serves(*d)) {
+            debug!(self.log, "no such exchange"; "place" => place.0);
+            return self.reject(client, 404, &echoed, "no such destination");
+        }
+        // Guards memory, and the turn of the others, against a caller that floods one connection.
+        if self.clients.set_ups(client) >= MAX_SET_UPS_PER_CONNECTION {
+            return self.send_to_client(client, &sip::response(503, &echoed, self.hold_off, b""));
+        }
+        self.invites.insert(id.clone(), Invite { client, echoed });
+        self.clients.begin(client, id);
+        let request = Request { origin: Origin(client), offer, description: description.into() };
+        match dest {
+            Some(_) => self.core.request(now, request),
+            None => self.look_up(now, request),
+        }
+    }
+
+    /// Reads what a set-up asks for; `None` if a figure is missing, no number or out of range. A destination
+    /// may be missing where numbers are looked up.
+    pub(super) fn offer(
+        &self,
+        id: &CallId,
+        number: Arc<str>,
+        message: &Message,
+    ) -> Option<(Option<Place>, Offer)> {
+        let class = message.header("X-Call-Class");
+        let class = class.and_then(|name| self.class_names.iter().position(|n| n == name))?;
+        let limit = Duration::from_millis(message.header("X-Ring-Limit")?.parse().ok()?);
+        let figures = sip::figures(message.header("X-Dest").unwrap_or_default())?;
+        let figure = |name| figures.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
+        let whole = |name, least: f64, most: f64| match figure(name) {
+            None => Some(None),
+            Some(n) => ((least..=most).contains(&n) && n.fract() == 0.0).then_some(Some(n)),
+        };
+        let dest = whole("dest", 0.0, f64::from(u32::MAX))?.map(|n| Place(n as u32));
+        let width = whole("width", 1.0, WIDEST)?.map(|n| n as u32);
+        let via = whole("via", -1.0, f64::from(u32::MAX))?.filter(|n| *n >= 0.0).map(|n| Place(n as u32));
+        let flag = |name| whole(name, 0.0, 1.0).map(|n| n == Some(1.0));
+        let again = message.header("X-Again").unwrap_or("0");
+        let fits = !limit.is_zero() && limit <= LONGEST_WAIT && matches!(again, "0" | "1");
+        (fits && (dest.is_some() || self.look_up.is_some())).then_some(())?;
+        let offer = Offer {
+            call: id.clone(),
+            class,
+            tenant: 0,
+            number,
+            remaining: limit.saturating_sub(RESPONSE_MARGIN),
+            dest: dest.unwrap_or(Place(0)),
+            width,
+            via,
+            again: again == "1",
+            transit: flag("transit")?,
+            reconnect: flag("again")?,
+        };
+        Some((dest, offer))
+    }
+
+    /// A message that can't be served.
+    pub(super) fn reject(&mut self, client: u64, status: u16, echoed: &str, why: &str) {
+        debug!(self.log, "turned down"; "caller" => client, "status" => status, "why" => why);
+        self.send_to_client(client, &sip::response(status, echoed, None, b""));
+        self.clients.record_protocol_error(client);
+    }
+
+    /// Finds the destination of a call that brings only a number, then routes it with the time it has left.
+    pub(super) fn look_up(&mut self, now: Duration, mut request: Request) {
+        let (Some((front, share)), Some(me)) = (self.look_up.clone(), self.me.upgrade()) else { return };
+        let deadline = now + request.offer.remaining;
+        let within = request.offer.remaining.mul_f64(share);
+        tokio::task::spawn_local(async move {
+            let found = enumeration::resolve(front, request.offer.number.to_string(), within).await;
+            let mut platform = me.borrow_mut();
+            let id = request.offer.call.clone();
+            if !platform.invites.contains_key(&id) {
+                return; // the caller has gone
+            }
+            let now = platform.clock.now();
+            match found {
+                Resolved::To(place) => {
+                    request.offer.dest = place;
+                    request.offer.remaining = deadline.saturating_sub(now);
+                    platform.core.request(now, request);
+                }
+                Resolved::Nowhere => platform.answer_unrouted(&id, 404),
+                Resolved::Unknown => platform.answer_unrouted(&id, 503),
+            }
+            platform.flush();
+        });
+    }
+
+    /// Final answer to a call that never reached the core.
+    pub(super) fn answer_unrouted(&mut self, id: &CallId, status: u16) {
+        if let Some(invite) = self.take_invite(id) {
+            self.send_to_client(invite.client, &sip::response(status, &invite.echoed, None, b""));
+        }
+    }
+
+    /// The caller has given a set-up up.
+    pub(super) fn withdraw(&mut self, now: Duration, id: &CallId, tell: bool) {
+        if let Some(invite) = self.take_invite(id) {
+            if tell {
+                self.send_to_client(invite.client, &sip::response(487, &invite.echoed, None, b""));
+            }
+            self.core.hang_up(now, id, CLEARED);
+        }
+    }
+
+    pub(super) fn take_invite(&mut self, id: &CallId) -> Option<Invite> {
+        let invite = self.invites.remove(id)?;
+        self.clients.end(invite.client, id);
+        Some(invite)
+    }
+
+    pub(super) fn send_to_client(&self, client: u64, bytes: &[u8]) {
+        self.clients.send(client, bytes);
+    }
+
+    /// After what was read last, a caller is in the middle of a message or not.
+    pub(in crate::net) fn on_client_read(&mut self, client: u64, half: bool) {
+        self.clients.on_read(self.clock.now(), client, half);
+    }
+
+    pub(in crate::net) fn on_client_connected(&mut self, writes: SharedWriteBuffer) -> Option<u64> {
+        let (now, id) = (self.clock.now(), self.conn());
+        if !self.clients.admit(now, id, writes) {
+            return None;
+        }
+        for release in std::mem::take(&mut self.waiting) {
+            if release.until > now {
+                self.send_release(Some(id), release.call, release.cause, release.times);
+            }
+        }
+        Some(id)
+    }
+
+    pub(in crate::net) fn on_client_disconnected(&mut self, client: u64) {
+        let now = self.clock.now();
+        for id in self.clients.remove(client) {
+            self.withdraw(now, &id, false);
+        }
+        // Guards against releases lost in a close that crossed them.
+        let unconfirmed: Vec<CallId> =
+            self.releases.iter().filter(|(_, r)| r.client == client).map(|(id, _)| id.clone()).collect();
+        unconfirmed.iter().for_each(|call| self.release_again(call));
+        self.flush();
+    }
+}
--- /dev/null
+++ b/src/net/platform/effects.rs
@@ -0,0 +1,93 @@
+//! Carries out what the core decides, as messages of the two protocols and of the other routers.
+
+use super::*;
+
+impl Platform {
+    /// Carries out what the core has decided.
+    pub(super) fn flush(&mut self) {
+        loop {
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                self.carry_out(effect);
+            }
+        }
+        self.due.notify_one();
+    }
+
+    pub(super) fn carry_out(&mut self, effect: Effect) {
+        let now = self.clock.now();
+        match effect {
+            Effect::Start { exchange, call, class, number, left, description } => {
+                let class = self.class_names.get(class).map_or("", String::as_str);
+                let bytes = jsonl::start(&call.0, class, &number, left.as_millis(), &description);
+                if let Some(pool) = self.pools.get_mut(&exchange) {
+                    pool.start(now, &call, bytes);
+                }
+                self.connect(&exchange);
+            }
+            Effect::Finish { exchange, call, cause } => {
+                let bytes = jsonl::finish(&call.0, cause);
+                match exchange {
+                    Some(exchange) => {
+                        if let Some(pool) = self.pools.get_mut(&exchange) {
+                            pool.finish(now, &call, bytes);
+                        }
+                    }
+                    None => {
+                        for pool in self.pools.values_mut().filter(|l| l.is_listed()) {
+                            pool.finish(now, &call, bytes.clone());
+                        }
+                    }
+                }
+            }
+            Effect::Answer { call, description, .. } => match self.take_invite(&call) {
+                Some(invite) => {
+                    self.clients.on_answered(invite.client);
+                    let answer = sip::response(200, &invite.echoed, None, description.as_bytes());
+                    self.send_to_client(invite.client, &answer);
+                }
+                None => self.core.hang_up(now, &call, CUT),
+            },
+            Effect::Refuse { call, stay_away, .. } => {
+                if let Some(invite) = self.take_invite(&call) {
+                    let wait = stay_away.map(|d| d.as_millis());
+                    self.send_to_client(invite.client, &sip::response(503, &invite.echoed, wait, b""));
+                }
+            }
+            Effect::Fail { call, .. } => {
+                if let Some(invite) = self.take_invite(&call) {
+                    self.send_to_client(invite.client, &sip::response(500, &invite.echoed, None, b""));
+                }
+            }
+            Effect::Release { origin, call, cause } => self.release(origin.map(|o| o.0), call, cause),
+            Effect::TellAll(text) => self.tell_all(&text),
+            Effect::Log(line) => info!(self.log, "{}", line),
+        }
+    }
+
+    /// Datagrams to other routers go out by this socket.
+    pub(in crate::net) fn set_peer_socket(&mut self, socket: Rc<UdpSocket>) {
+        self.peer_socket = Some(socket);
+    }
+
+    /// Number of the router that sends from an address.
+    pub(in crate::net) fn peer_number(&self, from: SocketAddr) -> Option<u32> {
+        self.peers.iter().position(|p| *p == from).and_then(|n| u32::try_from(n).ok())
+    }
+
+    pub(in crate::net) fn peer_message(&mut self, from: u32, text: &str) {
+        self.core.peer(self.clock.now(), from, text.to_owned());
+        self.flush();
+    }
+
+    pub(super) fn tell_all(&self, text: &str) {
+        if let (Some(socket), Some(all), true) = (&self.peer_socket, self.peers_all, text.len() <= DATAGRAM) {
+            if let Err(e) = socket.try_send_to(text.as_bytes(), all) {
+                debug!(self.log, "datagram not sent"; "error" => %e);
+            }
+        }
+    }
+}
