Log each step of a call and why connections end; count both by reason

Cause: the incident's log could not tell which requests were open on which connection, why a connection was closed, and what became of its requests; two candidate causes left no trace. Change: typed close reasons for client and exchange connections; log lines with call_id, connection_id, exchange_id and reason from a request's arrival to its answer; a warning for each request that loses its connection; counters (prometheus-client) on the console's 'metrics' and in the log at the stop.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod call;
 pub mod interface;
 pub mod lifecycle;
+pub mod metrics;
 pub mod net;
 pub mod policy;
 pub mod protocol;
--- a/src/lifecycle/console.rs
+++ b/src/lifecycle/console.rs
@@ -18,6 +18,7 @@
 vrrp        state of the virtual router\n\
 drain       fail the tests of the callers' front, so that it sends calls elsewhere\n\
 quit        stop in order\n\
+metrics     counters since the start, in the OpenMetrics text format\n\
 help        this list\n";
 
 /// What the console looks at.
@@ -58,6 +59,7 @@
                 let state = self.standby.as_ref().map(|s| format!("{:?}", s.state()));
                 let _ = writeln!(text, "vrrp {}", state.as_deref().unwrap_or("off"));
             }
+            "metrics" => text.push_str(&self.platform.borrow().metrics.encode()),
             "drain" => {
                 self.platform.borrow_mut().drain();
                 text.push_str("draining: tests fail from now on\n");
--- a/src/lifecycle/run.rs
+++ b/src/lifecycle/run.rs
@@ -120,6 +120,9 @@
     }
     platform.borrow_mut().finish();
     tokio::time::sleep(LAST_WORDS).await;
+    for line in platform.borrow().metrics.encode().lines().filter(|line| !line.starts_with('#')) {
+        info!(log, "counter at stop"; "series" => line);
+    }
     info!(log, "stopped");
     Ok(())
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -69,7 +69,11 @@
         let registry = &mut self.registry;
         registry.register("requests", "Set-ups taken from clients", self.requests.clone());
         registry.register("attempts", "Set-ups sent to exchanges", self.attempts.clone());
-        registry.register("answers", "Final answers by status and by what decided them", self.answers.clone());
+        registry.register(
+            "answers",
+            "Final answers by status and by what decided them",
+            self.answers.clone(),
+        );
         registry.register("attempt_outcomes", "Ends of attempts and of calls", self.outcomes.clone());
         registry.register("protocol_errors", "Rejected client messages", self.protocol_errors.clone());
         registry.register("dropped_requests", "Set-ups that lost their connection", self.dropped.clone());
--- a/src/net/client_connections.rs
+++ b/src/net/client_connections.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
-use super::connection::SharedWriteBuffer;
+use super::connection::{CloseReason, SharedWriteBuffer};
 use crate::interface::CallId;
 
 /// Connections that may be closing beyond the share.
@@ -69,7 +69,7 @@
             let Some(least) = idle.min_by_key(|c| (c.proven, c.last_received_at.is_some(), c.last())) else {
                 return false;
             };
-            least.writes.close();
+            least.writes.close(CloseReason::Evicted);
             if self.open.len() >= self.most + CLOSING {
                 return false;
             }
@@ -112,10 +112,15 @@
         let Some(caller) = self.open.get_mut(&id) else { return };
         caller.protocol_errors += 1;
         if caller.protocol_errors >= MAX_PROTOCOL_ERRORS {
-            caller.writes.close();
+            caller.writes.close(CloseReason::ProtocolErrors);
         }
     }
 
+    /// Messages on it that could not be served.
+    pub fn protocol_errors(&self, id: u64) -> u32 {
+        self.open.get(&id).map_or(0, |c| c.protocol_errors)
+    }
+
     /// A set-up came on it.
     pub fn begin(&mut self, id: u64, call: CallId) {
         if let Some(caller) = self.open.get_mut(&id) {
@@ -172,8 +177,10 @@
             let idle = caller.is_idle() && now >= caller.last() + IDLE && (!caller.proven || kept > 1);
             if overdue {
                 late.push(*id);
-            } else if idle || silent && caller.is_idle() {
-                caller.writes.close();
+            } else if silent && caller.is_idle() {
+                caller.writes.close(CloseReason::Silent);
+            } else if idle {
+                caller.writes.close(CloseReason::Idle);
             }
         }
         late
@@ -182,13 +189,13 @@
     /// Closes the connections that wait for nothing: all, or those with no part of a message.
     pub fn close_idle(&self, all: bool) {
         let idle = self.open.values().filter(|c| c.is_idle() && (all || c.partial_message_since.is_none()));
-        idle.for_each(|c| c.writes.close());
+        idle.for_each(|c| c.writes.close(CloseReason::Shutdown));
     }
 
     /// Closes a connection once what is queued has been written.
-    pub fn close(&self, id: u64) {
+    pub fn close(&self, id: u64, reason: CloseReason) {
         if let Some(caller) = self.open.get(&id) {
-            caller.writes.close();
+            caller.writes.close(reason);
         }
     }
 }
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -52,42 +52,109 @@
     }
 }
 
+/// Why a connection is closed or has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CloseReason {
+    /// The peer closed it.
+    ClosedByPeer,
+    /// The socket reported an error, a reset among others.
+    SocketError,
+    /// The bytes on it are no message of the protocol.
+    MalformedMessage,
+    /// Too many messages that can't be served.
+    ProtocolErrors,
+    /// A message was begun and not completed in time.
+    MessageTimeout,
+    /// No message came in time.
+    Silent,
+    /// Nothing was open on it for long.
+    Idle,
+    /// It made room for another connection.
+    Evicted,
+    /// The peer let too many bytes wait.
+    WriteBufferFull,
+    /// News that others were told did not arrive on it.
+    Stalled,
+    /// Its exchange has left the membership.
+    Removed,
+    /// The router stops.
+    Shutdown,
+}
+
+impl CloseReason {
+    /// The word used in the log and in the metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::ClosedByPeer => "closed_by_peer",
+            Self::SocketError => "socket_error",
+            Self::MalformedMessage => "malformed_message",
+            Self::ProtocolErrors => "protocol_errors",
+            Self::MessageTimeout => "message_timeout",
+            Self::Silent => "silent",
+            Self::Idle => "idle",
+            Self::Evicted => "evicted",
+            Self::WriteBufferFull => "write_buffer_full",
+            Self::Stalled => "stalled",
+            Self::Removed => "removed",
+            Self::Shutdown => "shutdown",
+        }
+    }
+}
+
 /// What is to be written on a connection, and whether it is to be closed.
 #[derive(Debug)]
 pub struct WriteBuffer {
     backlog: usize,
     bytes: RefCell<Vec<u8>>,
-    closing: Cell<bool>,
+    closing: Cell<Option<CloseReason>>,
     wake: Notify,
 }
 
 impl WriteBuffer {
     /// An writes that takes so many bytes.
     pub fn new(backlog: usize) -> Self {
-        Self { backlog, bytes: RefCell::default(), closing: Cell::new(false), wake: Notify::new() }
+        Self { backlog, bytes: RefCell::default(), closing: Cell::new(None), wake: Notify::new() }
     }
 
     /// Queues bytes; a peer that has let too many wait is cut off.
     pub fn enqueue(&self, bytes: &[u8]) {
         let mut queue = self.bytes.borrow_mut();
         if queue.len() + bytes.len() > self.backlog {
-            self.closing.set(true);
+            self.mark_closing(CloseReason::WriteBufferFull);
             queue.clear();
-        } else if !self.closing.get() {
+        } else if self.is_open() {
             queue.extend_from_slice(bytes);
         }
         self.wake.notify_one();
     }
 
     /// Closes the connection once what is queued has been written.
-    pub fn close(&self) {
-        self.closing.set(true);
+    pub fn close(&self, reason: CloseReason) {
+        self.mark_closing(reason);
         self.wake.notify_one();
     }
 
+    /// Why its connection has ended, from how the connection loop ended.
+    pub fn end_reason(&self, ended: &io::Result<()>) -> CloseReason {
+        match (self.close_reason(), ended) {
+            (Some(reason), _) => reason,
+            (None, Ok(())) => CloseReason::ClosedByPeer,
+            (None, Err(_)) => CloseReason::SocketError,
+        }
+    }
+
+    fn mark_closing(&self, reason: CloseReason) {
+        self.closing.set(self.closing.get().or(Some(reason)));
+    }
+
+    /// Why it is closing; the first reason given counts.
+    pub fn close_reason(&self) -> Option<CloseReason> {
+        self.closing.get()
+    }
+
     /// Whether more may be queued.
     pub fn is_open(&self) -> bool {
-        !self.closing.get()
+        self.closing.get().is_none()
     }
 }
 
--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::connection::SharedWriteBuffer;
+use super::connection::{CloseReason, SharedWriteBuffer};
 use crate::interface::{CallId, Status};
 
 /// Connections to one exchange at most (the protocol's limit).
@@ -232,15 +232,20 @@
     pub fn sweep(&self, now: Duration) {
         let left = !self.listed && now >= self.left + REMOVED_LINGER;
         let over = |since: Option<Duration>, limit| since.is_some_and(|since| now >= since + limit);
-        let useless = |c: &&Conn| {
-            left || over(c.partial_line_since, PARTIAL_LINE_TIMEOUT) || over(c.stalled_since, STALLED.1)
-        };
-        self.conns.iter().filter(useless).for_each(|c| c.writes.close());
+        for conn in &self.conns {
+            if left {
+                conn.writes.close(CloseReason::Removed);
+            } else if over(conn.partial_line_since, PARTIAL_LINE_TIMEOUT) {
+                conn.writes.close(CloseReason::MessageTimeout);
+            } else if over(conn.stalled_since, STALLED.1) {
+                conn.writes.close(CloseReason::Stalled);
+            }
+        }
     }
 
     /// Closes all connections once what is queued has been written.
     pub fn close(&self) {
-        self.conns.iter().for_each(|c| c.writes.close());
+        self.conns.iter().for_each(|c| c.writes.close(CloseReason::Shutdown));
     }
 
     /// Writes straight back on a connection.
@@ -321,7 +326,9 @@
     pub fn make_room(&self) -> bool {
         if self.conns.len() >= MAX_CONNECTIONS {
             let fit = self.conns.iter().filter(|c| c.writes.is_open());
-            fit.min_by_key(|c| c.last_received_at).into_iter().for_each(|c| c.writes.close());
+            fit.min_by_key(|c| c.last_received_at)
+                .into_iter()
+                .for_each(|c| c.writes.close(CloseReason::Evicted));
         }
         self.conns.len() < MAX_CONNECTIONS
     }
--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -65,7 +65,8 @@
         let asked = self.invites.get(&id).map(|i| (i.client, held.is_none_or(|h| h.1)));
         if let Some((origin, same)) = asked.or(held) {
             if origin == client && same {
-                debug!(self.log, "set-up came twice"; "call" => &*id.0);
+                debug!(self.log, "set-up repeated"; "call_id" => &*id.0, "connection_id" => client);
+                self.metrics.count_protocol_error("set_up_repeated");
                 return self.clients.record_protocol_error(client);
             }
             return self.reject(client, 482, &echoed, "id of another set-up");
@@ -74,13 +75,19 @@
             return self.reject(client, 482, &echoed, "id of a set-up that is over");
         }
         if let Some(place) = dest.filter(|d| !self.core.exchanges.serves(*d)) {
-            debug!(self.log, "no such exchange"; "place" => place.0);
+            debug!(self.log, "destination unknown"; "call_id" => &*id.0, "place" => place.0);
             return self.reject(client, 404, &echoed, "no such destination");
         }
         // Guards memory, and the turn of the others, against a caller that floods one connection.
         if self.clients.set_ups(client) >= MAX_SET_UPS_PER_CONNECTION {
+            debug!(self.log, "request refused"; "call_id" => &*id.0, "connection_id" => client,
+                "reason" => "too many set-ups on the connection");
+            self.metrics.count_answer(503, "connection_full");
             return self.send_to_client(client, &sip::response(503, &echoed, self.hold_off, b""));
         }
+        self.metrics.count_request();
+        debug!(self.log, "request taken"; "call_id" => &*id.0, "connection_id" => client,
+            "class" => offer.class, "left_ms" => offer.remaining.as_millis(), "transit" => offer.transit);
         self.invites.insert(id.clone(), Invite { client, echoed });
         self.clients.begin(client, id);
         let request = Request { origin: Origin(client), offer, description: description.into() };
@@ -131,8 +138,10 @@
     }
 
     /// A message that can't be served.
-    pub(super) fn reject(&mut self, client: u64, status: u16, echoed: &str, why: &str) {
-        debug!(self.log, "turned down"; "caller" => client, "status" => status, "why" => why);
+    pub(super) fn reject(&mut self, client: u64, status: u16, echoed: &str, why: &'static str) {
+        debug!(self.log, "message rejected"; "connection_id" => client, "status" => status, "reason" => why,
+            "call_id" => call_id_of(echoed), "protocol_errors" => self.clients.protocol_errors(client) + 1);
+        self.metrics.count_protocol_error(why);
         self.send_to_client(client, &sip::response(status, echoed, None, b""));
         self.clients.record_protocol_error(client);
     }
@@ -165,21 +174,37 @@
 
     /// Final answer to a call that never reached the core.
     pub(super) fn answer_unrouted(&mut self, id: &CallId, status: u16) {
-        if let Some(invite) = self.take_invite(id) {
-            self.send_to_client(invite.client, &sip::response(status, &invite.echoed, None, b""));
-        }
+        self.answer_request(id, status, "unrouted", None, b"");
     }
 
     /// The caller has given a set-up up.
     pub(super) fn withdraw(&mut self, now: Duration, id: &CallId, tell: bool) {
         if let Some(invite) = self.take_invite(id) {
             if tell {
+                self.metrics.count_answer(487, "withdrawn");
                 self.send_to_client(invite.client, &sip::response(487, &invite.echoed, None, b""));
             }
             self.core.hang_up(now, id, CLEARED);
         }
     }
 
+    /// Writes the final answer to an open request; false if the request has ended before.
+    pub(super) fn answer_request(
+        &mut self,
+        id: &CallId,
+        status: u16,
+        reason: &'static str,
+        hold_off: Option<u128>,
+        body: &[u8],
+    ) -> bool {
+        let Some(invite) = self.take_invite(id) else { return false };
+        debug!(self.log, "request answered"; "call_id" => &*id.0, "connection_id" => invite.client,
+            "status" => status, "reason" => reason);
+        self.metrics.count_answer(status, reason);
+        self.send_to_client(invite.client, &sip::response(status, &invite.echoed, hold_off, body));
+        true
+    }
+
     pub(super) fn take_invite(&mut self, id: &CallId) -> Option<Invite> {
         let invite = self.invites.remove(id)?;
         self.clients.end(invite.client, id);
@@ -200,6 +225,7 @@
         if !self.clients.admit(now, id, writes) {
             return None;
         }
+        debug!(self.log, "client connected"; "connection_id" => id);
         for release in std::mem::take(&mut self.waiting) {
             if release.until > now {
                 self.send_release(Some(id), release.call, release.cause, release.times);
@@ -208,9 +234,29 @@
         Some(id)
     }
 
-    pub(in crate::net) fn on_client_disconnected(&mut self, client: u64) {
+    /// The bytes on a connection can't be read as messages; no further one can be found.
+    pub(in crate::net) fn on_malformed_message(&mut self, client: u64, error: &sip::Malformed) {
+        debug!(self.log, "message malformed"; "connection_id" => client, "status" => error.status,
+            "reason" => error.why);
+        self.metrics.count_protocol_error(error.why);
+    }
+
+    /// A client connection has ended; its open requests can't be answered any more.
+    pub(in crate::net) fn on_client_disconnected(
+        &mut self,
+        client: u64,
+        reason: CloseReason,
+        ended: &io::Result<()>,
+    ) {
         let now = self.clock.now();
-        for id in self.clients.remove(client) {
+        let dropped = self.clients.remove(client);
+        debug!(self.log, "client disconnected"; "connection_id" => client, "reason" => reason.as_str(),
+            "open_requests" => dropped.len(), "end" => ?ended);
+        self.metrics.count_client_close(reason.as_str());
+        for id in dropped {
+            let (call, reason) = (&*id.0, reason.as_str());
+            warn!(self.log, "request dropped"; "call_id" => call, "connection_id" => client, "reason" => reason);
+            self.metrics.count_dropped(reason);
             self.withdraw(now, &id, false);
         }
         // Guards against releases lost in a close that crossed them.
@@ -220,3 +266,11 @@
         self.flush();
     }
 }
+
+/// The value of the Call-ID among headers that an answer repeats; empty if there is none.
+fn call_id_of(echoed: &str) -> String {
+    let id = echoed
+        .lines()
+        .find_map(|line| line.split_once(": ").filter(|(n, _)| n.eq_ignore_ascii_case("call-id")));
+    id.map_or_else(String::new, |(_, value)| value.to_owned())
+}
--- a/src/net/platform/effects.rs
+++ b/src/net/platform/effects.rs
@@ -23,12 +23,17 @@
             Effect::Start { exchange, call, class, number, left, description } => {
                 let class = self.class_names.get(class).map_or("", String::as_str);
                 let bytes = jsonl::start(&call.0, class, &number, left.as_millis(), &description);
+                debug!(self.log, "attempt sent"; "call_id" => &*call.0, "exchange_id" => &*exchange.0,
+                    "left_ms" => left.as_millis());
+                self.metrics.count_attempt();
                 if let Some(pool) = self.pools.get_mut(&exchange) {
                     pool.start(now, &call, bytes);
                 }
                 self.connect(&exchange);
             }
             Effect::Finish { exchange, call, cause } => {
+                debug!(self.log, "call released at exchange"; "call_id" => &*call.0, "cause" => cause,
+                    "exchange_id" => exchange.as_ref().map_or("all", |e| &*e.0));
                 let bytes = jsonl::finish(&call.0, cause);
                 match exchange {
                     Some(exchange) => {
@@ -43,24 +48,20 @@
                     }
                 }
             }
-            Effect::Answer { call, description, .. } => match self.take_invite(&call) {
-                Some(invite) => {
+            Effect::Answer { call, description, .. } => {
+                if let Some(invite) = self.invites.get(&call) {
                     self.clients.on_answered(invite.client);
-                    let answer = sip::response(200, &invite.echoed, None, description.as_bytes());
-                    self.send_to_client(invite.client, &answer);
                 }
-                None => self.core.hang_up(now, &call, CUT),
-            },
-            Effect::Refuse { call, stay_away, .. } => {
-                if let Some(invite) = self.take_invite(&call) {
-                    let wait = stay_away.map(|d| d.as_millis());
-                    self.send_to_client(invite.client, &sip::response(503, &invite.echoed, wait, b""));
+                if !self.answer_request(&call, 200, "stands", None, description.as_bytes()) {
+                    self.core.hang_up(now, &call, CUT);
                 }
             }
+            Effect::Refuse { call, stay_away, .. } => {
+                let hold_off = stay_away.map(|d| d.as_millis());
+                self.answer_request(&call, 503, "refused", hold_off, b"");
+            }
             Effect::Fail { call, .. } => {
-                if let Some(invite) = self.take_invite(&call) {
-                    self.send_to_client(invite.client, &sip::response(500, &invite.echoed, None, b""));
-                }
+                self.answer_request(&call, 500, "failed", None, b"");
             }
             Effect::Release { origin, call, cause } => self.release(origin.map(|o| o.0), call, cause),
             Effect::TellAll(text) => self.tell_all(&text),
--- a/src/net/platform/exchanges.rs
+++ b/src/net/platform/exchanges.rs
@@ -16,6 +16,8 @@
         match line.verb.as_str() {
             "LOAD" => self.core.report(now, exchange, report),
             "STARTED" => {
+                debug!(self.log, "exchange answered"; "call_id" => &*id.0, "exchange_id" => &*exchange.0);
+                self.metrics.count_outcome("stands");
                 let description = line.blob.as_deref().unwrap_or_default().into();
                 self.core.reply(now, exchange, &id, Reply::Stands(description));
             }
@@ -23,6 +25,9 @@
                 let stood = self.core.calls.open.get(&id).is_none_or(|c| c.stands);
                 let status = end_of(line.cause, stood);
                 let cause = line.note.as_deref().and_then(cause_of);
+                debug!(self.log, "exchange released call"; "call_id" => &*id.0, "exchange_id" => &*exchange.0,
+                    "status" => ?status, "cause" => ?line.cause, "note" => line.note.as_deref().unwrap_or(""));
+                self.metrics.count_outcome(outcome_name(status));
                 self.core.reply(now, exchange, &id, Reply::Ended { status, cause, report });
                 if stood {
                     self.answer(exchange, conn, &jsonl::plain("FINISHED", &id.0, None));
@@ -57,7 +62,7 @@
         let Some(pool) = self.pools.get_mut(exchange) else { return };
         let missed = pool.is_idle(now) && self.core.stands_at(exchange);
         if missed && pool.is_out_of_reach(now) {
-            warn!(self.log, "out of reach, its calls are released"; "exchange" => &*exchange.0);
+            warn!(self.log, "out of reach, its calls are released"; "exchange_id" => &*exchange.0);
             self.core.cut(now, exchange);
             return self.flush();
         }
@@ -77,7 +82,7 @@
         writes: SharedWriteBuffer,
     ) {
         let now = self.clock.now();
-        debug!(self.log, "exchange connected"; "exchange" => &*exchange.0, "conn" => id.0);
+        debug!(self.log, "exchange connected"; "exchange_id" => &*exchange.0, "connection_id" => id.0);
         if let Some(pool) = self.pools.get_mut(exchange) {
             pool.connected(now, id, writes);
         }
@@ -86,7 +91,7 @@
     pub(in crate::net) fn exchange_failed(&mut self, exchange: &ExchangeId, error: &io::Error) {
         let now = self.clock.now();
         let refused = error.kind() == io::ErrorKind::ConnectionRefused;
-        debug!(self.log, "no connection"; "exchange" => &*exchange.0, "error" => %error);
+        debug!(self.log, "exchange connect failed"; "exchange_id" => &*exchange.0, "error" => %error);
         let Some(pool) = self.pools.get_mut(exchange) else { return };
         let (unsent, died) = pool.failed(now, if refused { Failure::Refused } else { Failure::Silent });
         for id in unsent {
@@ -103,10 +108,13 @@
         &mut self,
         exchange: &ExchangeId,
         id: ConnId,
+        reason: CloseReason,
         ended: &io::Result<()>,
     ) {
         let now = self.clock.now();
-        debug!(self.log, "exchange disconnected"; "exchange" => &*exchange.0, "conn" => id.0, "end" => ?ended);
+        debug!(self.log, "exchange disconnected"; "exchange_id" => &*exchange.0, "connection_id" => id.0,
+            "reason" => reason.as_str(), "end" => ?ended);
+        self.metrics.count_exchange_close(reason.as_str());
         let Some(pool) = self.pools.get_mut(exchange) else { return };
         for id in pool.closed(now, id) {
             // Guards against circuits held for nobody: the set-up may have run, and its answer been spoilt or
@@ -122,6 +130,9 @@
     pub(super) fn on_connection_reset(&mut self, exchange: &ExchangeId, id: &CallId, ran: bool) {
         let status = ExchangePool::status(ran);
         if self.core.calls.open.get(id).is_some_and(|c| !c.stands) {
+            debug!(self.log, "attempt lost its connection"; "call_id" => &*id.0, "exchange_id" => &*exchange.0,
+                "status" => ?status);
+            self.metrics.count_outcome(outcome_name(status));
             let reply = Reply::Ended { status, cause: None, report: Vec::new() };
             self.core.reply(self.clock.now(), exchange, id, reply);
         }
@@ -152,3 +163,17 @@
         _ => return None,
     })
 }
+
+/// The word for an outcome in the metrics.
+fn outcome_name(status: Status) -> &'static str {
+    match status {
+        Status::Ended => "ended",
+        Status::Error => "error",
+        Status::Full => "full",
+        Status::TimedOut => "timed_out",
+        Status::Unreachable => "unreachable",
+        Status::Reset => "reset",
+        Status::Cancelled => "cancelled",
+        Status::Moot => "moot",
+    }
+}
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -23,7 +23,8 @@
 use crate::call::core::{Core, Effect, Reply, Request, CLEARED, CUT};
 use crate::interface::*;
 use crate::lifecycle::config::{Config, Listed, Update};
-use crate::net::connection::{Clock, SharedWriteBuffer, Timed};
+use crate::metrics::Metrics;
+use crate::net::connection::{Clock, CloseReason, SharedWriteBuffer, Timed};
 use crate::net::enumeration::{self, Resolved};
 use crate::net::exchange_pool::{ConnId, ExchangePool, Failure};
 use crate::net::{client_connections::ClientConnections, sockets};
@@ -84,6 +85,8 @@
     pub core: Core,
     pub(in crate::net) clock: Clock,
     pub(in crate::net) log: Logger,
+    /// Counters for the console and the log.
+    pub metrics: Metrics,
     class_names: Vec<String>,
     gauge_names: Vec<String>,
     pub(in crate::net) connect_timeout: Duration,
@@ -129,6 +132,7 @@
                 core: Core::new(controller, now),
                 clock,
                 log,
+                metrics: Metrics::default(),
                 class_names: config.class_names.clone(),
                 gauge_names: config.gauge_names.clone(),
                 connect_timeout: config.connect_timeout,
@@ -254,8 +258,8 @@
             if moved || before.get(id).is_some_and(|up| *up != entry.up_since) {
                 pool.replace_connections(now);
             }
-            info!(self.log, "listed"; "exchange" => &*id.0, "place" => entry.place.0,
-                "health" => ?entry.health, "up_since" => ?entry.up_since);
+            info!(self.log, "exchange listed"; "exchange_id" => &*id.0, "place" => entry.place.0,
+                "health" => ?entry.health, "up_since" => ?entry.up_since, "event" => self.last_event);
         }
         self.pools.retain(|_, l| !l.is_spent());
         let entries = lines.iter().map(|l| l.entry.clone()).collect();
@@ -300,9 +304,9 @@
         let unconfirmed: Vec<CallId> = unconfirmed.map(|(id, _)| id.clone()).collect();
         unconfirmed.iter().for_each(|call| self.release_again(call));
         for caller in self.clients.sweep(now) {
-            debug!(self.log, "caller closed"; "caller" => caller, "why" => "half a message");
+            self.metrics.count_protocol_error("message_timeout");
             self.send_to_client(caller, &sip::response(408, "", None, b""));
-            self.clients.close(caller);
+            self.clients.close(caller, CloseReason::MessageTimeout);
         }
         self.pools.values().for_each(|l| l.sweep(now));
         self.pools.retain(|_, l| !l.is_spent());
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::Instant;
 
-use super::connection::{self, SharedWriteBuffer, WriteBuffer};
+use super::connection::{self, CloseReason, SharedWriteBuffer, WriteBuffer};
 use super::exchange_pool::ConnId;
 use super::platform::{Handle, DATAGRAM};
 use crate::interface::ExchangeId;
@@ -41,15 +41,18 @@
                             return ControlFlow::Continue(());
                         }
                         Err(why) => {
-                            warn!(me.borrow().log, "exchange closed"; "why" => why, "exchange" => &*exchange.0);
+                            warn!(me.borrow().log, "exchange message malformed"; "reason" => why,
+                                "connection_id" => id.0, "exchange_id" => &*exchange.0);
+                            writes.close(CloseReason::MalformedMessage);
                             return ControlFlow::Break(());
                         }
                     }
                 }
             })
             .await;
-            writes.close();
-            me.borrow_mut().exchange_down(&exchange, id, &ended);
+            let reason = writes.end_reason(&ended);
+            writes.close(reason);
+            me.borrow_mut().exchange_down(&exchange, id, reason, &ended);
         }
         Err(e) => me.borrow_mut().exchange_failed(&exchange, &e),
     }
@@ -78,8 +81,9 @@
         // Guards against a rush of connections: those that make room for it are closed before the next comes.
         tokio::task::yield_now().await;
         let writes: SharedWriteBuffer = Rc::new(WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.0));
-        let Some(caller) = platform.borrow_mut().on_client_connected(writes.clone()) else {
-            debug!(platform.borrow().log, "caller turned away"; "why" => "too many connections");
+        let Some(client) = platform.borrow_mut().on_client_connected(writes.clone()) else {
+            debug!(platform.borrow().log, "client connection refused"; "reason" => "too many connections");
+            platform.borrow().metrics.count_client_close("refused");
             continue;
         };
         let platform = platform.clone();
@@ -90,14 +94,15 @@
                 // What comes after the last word is not served.
                 while writes.is_open() {
                     match decoder.take() {
-                        Ok(Some(message)) => platform.borrow_mut().on_client_message(caller, message),
+                        Ok(Some(message)) => platform.borrow_mut().on_client_message(client, message),
                         Ok(None) => {
-                            platform.borrow_mut().on_client_read(caller, decoder.is_amid());
+                            platform.borrow_mut().on_client_read(client, decoder.is_amid());
                             return ControlFlow::Continue(());
                         }
                         Err(e) => {
-                            debug!(platform.borrow().log, "caller closed"; "why" => e.why);
+                            platform.borrow_mut().on_malformed_message(client, &e);
                             writes.enqueue(&sip::response(e.status, "", None, b""));
+                            writes.close(CloseReason::MalformedMessage);
                             return ControlFlow::Break(());
                         }
                     }
@@ -105,11 +110,9 @@
                 ControlFlow::Break(())
             })
             .await;
-            writes.close();
-            if let Err(e) = ended {
-                debug!(platform.borrow().log, "caller connection broke"; "error" => %e);
-            }
-            platform.borrow_mut().on_client_disconnected(caller);
+            let reason = writes.end_reason(&ended);
+            writes.close(reason);
+            platform.borrow_mut().on_client_disconnected(client, reason, &ended);
         });
     }
 }
@@ -128,7 +131,9 @@
         let listen = async {
             let stream = connection::connect(at, within).await?;
             let writes = WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.0);
-            writes.enqueue(&coordinator::hello(platform.borrow().last_event));
+            let last_event = platform.borrow().last_event;
+            writes.enqueue(&coordinator::hello(last_event));
+            info!(log, "coordinator connected"; "at" => %at, "last_event" => last_event);
             let mut decoder = coordinator::Decoder::default();
             heard.set(Instant::now());
             let pump = connection::run_connection(stream, &writes, |bytes| {
@@ -139,7 +144,7 @@
                         Ok(Some(frame)) => platform.borrow_mut().coordinator_frame(frame),
                         Ok(None) => return ControlFlow::Continue(()),
                         Err(why) => {
-                            warn!(log, "coordinator not understood"; "why" => why);
+                            warn!(log, "coordinator frame malformed"; "reason" => why);
                             return ControlFlow::Break(());
                         }
                     }
@@ -158,7 +163,11 @@
             }
         };
         tokio::select! {
-            ended = listen => info!(log, "coordinator disconnected"; "at" => %at, "end" => ?ended),
+            ended = listen => {
+                let reason = discovery_end(&ended);
+                info!(log, "coordinator disconnected"; "at" => %at, "reason" => reason, "end" => ?ended);
+                platform.borrow().metrics.count_discovery_close(reason);
+            }
             () = moved.notified() => {
                 info!(log, "coordinator changed"; "from" => %at);
                 continue;
@@ -172,6 +181,16 @@
     }
 }
 
+/// Why a connection to the coordinator has ended.
+fn discovery_end(ended: &io::Result<()>) -> &'static str {
+    match ended {
+        Ok(()) => "closed_by_peer",
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => "silent",
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => "refused",
+        Err(_) => "socket_error",
+    }
+}
+
 /// Takes datagrams of other routers.
 pub async fn hear_peers(platform: Handle, socket: Rc<UdpSocket>) {
     platform.borrow_mut().set_peer_socket(socket.clone());
