--- /dev/null
+++ b/tests/lost_requests.rs
@@ -0,0 +1,63 @@
+//! Requests that a client connection has taken are answered before that connection ends.
+
+mod stand;
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use stand::*;
+
+/// Final answers by call, until the connection ends or nothing more comes.
+fn final_answers(client: &mut Caller, quiet: Duration) -> BTreeMap<String, Vec<String>> {
+    let mut answers: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    while let Some(message) = client.within(quiet) {
+        if let Some(call) = message.head.lines().find_map(|l| l.strip_prefix("Call-ID: ")) {
+            answers.entry(call.to_owned()).or_default().push(message.first);
+        }
+    }
+    answers
+}
+
+/// Incident 93b949: after a restart, set-ups for an exchange that is being replaced closed their client's
+/// connection, and the requests of other calls that were open on it ended without an answer.
+#[test]
+fn set_ups_for_a_removed_exchange_after_a_restart_do_not_end_other_requests_on_the_connection() {
+    let (first, second) = (Exchange::start(), Exchange::start());
+    let (listener, address) = coordinator();
+    let mut settings = config(&[first.address, second.address]);
+    settings["coordinator"] = address;
+    let mut before = Router::start(&settings);
+    before.caller().ready();
+    let (mut events, _) = asked(&listener);
+    let mut removed = frame(2, 2, 2, second.address);
+    removed[4 + 9 + 14] = 2; // the record's place
+    events.write_all(&removed).unwrap();
+    before.logged("health: Gone");
+    before.signal("-TERM");
+    assert!(before.child.wait().unwrap().success());
+
+    settings["known"]["updates"][0]["endpoints"]["hosts"].as_array_mut().unwrap().remove(1);
+    settings["known"]["index"] = json!(2);
+    let router = Router::start(&settings);
+    let mut client = router.caller();
+    client.ready();
+    client.invite("0000000000000a00", 1, 3000);
+    let (_, stream, _) = first.hear("START");
+    let sent = Instant::now();
+    for call in 1..=10 {
+        client.invite(&format!("{:016x}", 0xa00 + call), 2, 962);
+    }
+    let early = final_answers(&mut client, Duration::from_millis(1200) + SLACK);
+    started(&stream, "0000000000000a00");
+    let late = final_answers(&mut client, Duration::from_millis(500));
+    assert_eq!(late.get("0000000000000a00").map(Vec::len), Some(1), "{early:?} {late:?}");
+    assert!(late["0000000000000a00"][0].contains(" 200 "), "{late:?}");
+    for call in 1..=10 {
+        let id = format!("{:016x}", 0xa00 + call);
+        assert_eq!(early.get(&id).map(Vec::len), Some(1), "{id}: {early:?}");
+        assert!(early[&id][0].contains(" 503 "), "refused, since trying again is harmless: {early:?}");
+    }
+    assert!(sent.elapsed() < Duration::from_secs(4));
+}
