Keep a connection whose answers come in one burst, and take what arrived by its end

Callers saw: their connection closed, and none of its open requests answered, when exchanges answered several of them in one moment. Cause: WriteBuffer::enqueue (net/connection.rs) closed the connection and dropped the queue once 48 KiB waited, counted before the loop had written any of it; four answers of the largest size in one read were enough. On a close or a failed write, bytes that had arrived and were not read yet were dropped (run_connection). Change: a connection may hold 48 KiB whatever the others hold, and more while a budget of all connections has room; when a connection ends, what is queued is written, what has arrived is handled and answered, then the write side is shut and the peer's end awaited for 100 ms, so that no reset destroys the last answers.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -8,16 +8,16 @@
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
-/// Bytes that may wait for a slow peer, a caller and an exchange; beyond it the connection is closed.
-///
-/// Guards the memory limit: one peer that stops reading must not take the room of all others. ClientConnections are
-/// many, exchanges few.
-pub const WRITE_BUFFER_LIMITS: (usize, usize) = (48 * 1024, 256 * 1024);
 /// What a connection keeps allocated for its output while nothing waits.
 const RETAINED_CAPACITY: usize = 16 * 1024;
+/// Bytes taken in one read.
+const READ_SIZE: usize = 8 * 1024;
+/// Reads of what has arrived by a connection's end, at most.
+const MAX_FINAL_READS: usize = 8;
 /// Connections waiting to be accepted.
 const ACCEPT_BACKLOG: u32 = 512;
 
@@ -104,27 +104,90 @@
 /// What is to be written on a connection, and whether it is to be closed.
 #[derive(Debug)]
 pub struct WriteBuffer {
-    backlog: usize,
+    limits: Limits,
+    budget: Rc<WriteBudget>,
     bytes: RefCell<Vec<u8>>,
+    /// Bytes queued and not yet handed to the socket.
+    waiting: Cell<usize>,
     closing: Cell<Option<CloseReason>>,
+    /// Nothing more is written, queued or not.
+    finished: Cell<bool>,
     wake: Notify,
 }
 
+/// What a connection may hold and how patiently it ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Bytes that may wait for the peer whatever the other connections hold.
+    pub fair_share: usize,
+    /// Bytes that may wait while the budget of all connections has room.
+    pub most: usize,
+    /// When it is closed, what is queued is written for so long at most.
+    pub flush_timeout: Duration,
+    /// The peer's end is awaited for so long after that: unread bytes would turn the close into a reset, which
+    /// can destroy the last answers.
+    pub linger: Duration,
+}
+
+/// Limits of a client's connection.
+pub const CLIENT_LIMITS: Limits = Limits {
+    fair_share: 48 * 1024,
+    most: 1024 * 1024,
+    flush_timeout: Duration::from_millis(500),
+    linger: Duration::from_millis(100),
+};
+/// Limits of a connection to an exchange or to the coordinator: its end is news, so it isn't waited for.
+pub const SERVER_LIMITS: Limits = Limits {
+    fair_share: 256 * 1024,
+    most: 2 * 1024 * 1024,
+    flush_timeout: Duration::from_millis(20),
+    linger: Duration::ZERO,
+};
+/// Bytes that may wait on all client connections together, and on all connections to servers.
+pub const WRITE_BUDGET: usize = 16 * 1024 * 1024;
+
+/// Bytes that wait on all connections of a kind together.
+#[derive(Debug)]
+pub struct WriteBudget {
+    total: usize,
+    used: Cell<usize>,
+}
+
+impl WriteBudget {
+    /// A budget of so many bytes.
+    pub fn new(total: usize) -> Rc<Self> {
+        Rc::new(Self { total, used: Cell::new(0) })
+    }
+}
+
 impl WriteBuffer {
-    /// An writes that takes so many bytes.
-    pub fn new(backlog: usize) -> Self {
-        Self { backlog, bytes: RefCell::default(), closing: Cell::new(None), wake: Notify::new() }
+    /// An empty buffer within limits of its own and a budget that it shares.
+    pub fn new(limits: Limits, budget: Rc<WriteBudget>) -> Self {
+        Self {
+            limits,
+            budget,
+            bytes: RefCell::default(),
+            waiting: Cell::new(0),
+            closing: Cell::new(None),
+            finished: Cell::new(false),
+            wake: Notify::new(),
+        }
     }
 
-    /// Queues bytes; a peer that has let too many wait is cut off.
+    /// Queues bytes; a peer that lets too many wait is cut off. A connection that is closing still takes
+    /// what answers the requests read before its end.
     pub fn enqueue(&self, bytes: &[u8]) {
-        let mut queue = self.bytes.borrow_mut();
-        if queue.len() + bytes.len() > self.backlog {
-            self.mark_closing(CloseReason::WriteBufferFull);
-            queue.clear();
-        } else if self.is_open() {
-            queue.extend_from_slice(bytes);
+        if self.finished.get() {
+            return;
+        }
+        let waiting = self.waiting.get() + bytes.len();
+        let is_over_share = waiting > self.limits.fair_share;
+        let is_over_budget = self.budget.used.get() + bytes.len() > self.budget.total;
+        if waiting > self.limits.most || (is_over_share && is_over_budget) {
+            return self.abort(CloseReason::WriteBufferFull);
         }
+        self.account(bytes.len(), 0);
+        self.bytes.borrow_mut().extend_from_slice(bytes);
         self.wake.notify_one();
     }
 
@@ -134,6 +197,18 @@
         self.wake.notify_one();
     }
 
+    /// Ends the connection at once; what is queued is dropped.
+    fn abort(&self, reason: CloseReason) {
+        self.finished.set(true);
+        self.account(0, self.bytes.take().len());
+        self.close(reason);
+    }
+
+    fn account(&self, added: usize, removed: usize) {
+        self.waiting.set(self.waiting.get() + added - removed);
+        self.budget.used.set(self.budget.used.get() + added - removed);
+    }
+
     /// Why its connection has ended, from how the connection loop ended.
     pub fn end_reason(&self, ended: &io::Result<()>) -> CloseReason {
         match (self.close_reason(), ended) {
@@ -152,60 +227,153 @@
         self.closing.get()
     }
 
-    /// Whether more may be queued.
+    /// Whether the connection goes on.
     pub fn is_open(&self) -> bool {
         self.closing.get().is_none()
     }
 }
 
-/// Reads and writes until either side closes.
+impl Drop for WriteBuffer {
+    fn drop(&mut self) {
+        self.account(0, self.waiting.get());
+    }
+}
+
+/// Reads and writes until the peer closes, the socket fails, or the buffer is closed. Whatever has arrived by
+/// then is handed to `on_bytes` first, and what that queues is still written.
 ///
 /// # Errors
 /// What the socket reports, a reset among others.
 pub async fn run_connection(
     stream: TcpStream,
     writes: &WriteBuffer,
-    mut on_bytes: impl FnMut(&[u8]) -> ControlFlow<()>,
+    on_bytes: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> io::Result<()> {
-    let (mut reader, mut writer) = stream.into_split();
-    let mut input = vec![0; 8 * 1024];
-    let mut output: Vec<u8> = Vec::new();
-    let mut written = 0;
-    loop {
-        if written == output.len() {
-            if output.capacity() > RETAINED_CAPACITY {
-                // Guards memory against the longest backlog of each of many connections.
-                output = Vec::new();
+    let (reader, writer) = stream.into_split();
+    let mut connection =
+        Connection { reader, writer, writes, on_bytes, reading: true, output: Vec::new(), written: 0 };
+    let ended = connection.run().await;
+    writes.finished.set(true);
+    ended
+}
+
+/// One connection and the bytes that it is writing.
+struct Connection<'a, F> {
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+    writes: &'a WriteBuffer,
+    on_bytes: F,
+    /// Bytes are taken; once `on_bytes` breaks off, only what is queued is written until the buffer is closed.
+    reading: bool,
+    output: Vec<u8>,
+    written: usize,
+}
+
+impl<F: FnMut(&[u8]) -> ControlFlow<()>> Connection<'_, F> {
+    async fn run(&mut self) -> io::Result<()> {
+        let mut input = vec![0; READ_SIZE];
+        while self.writes.is_open() {
+            self.take_queued();
+            tokio::select! {
+                read = self.reader.read(&mut input), if self.reading => {
+                    let n = read?;
+                    if n == 0 {
+                        return Ok(());
+                    }
+                    self.hand_over(&input[..n]);
+                }
+                wrote = self.writer.write(&self.output[self.written..]), if self.has_output() => {
+                    match wrote {
+                        Ok(n) => self.advance(n),
+                        Err(e) => {
+                            self.read_arrived(&mut input);
+                            return Err(e);
+                        }
+                    }
+                }
+                () = self.writes.wake.notified() => {}
             }
-            output.clear();
-            written = 0;
-            std::mem::swap(&mut output, &mut writes.bytes.borrow_mut());
-            if output.is_empty() && !writes.is_open() {
-                return Ok(());
+        }
+        self.end(&mut input).await
+    }
+
+    fn has_output(&self) -> bool {
+        self.written < self.output.len()
+    }
+
+    fn take_queued(&mut self) {
+        if self.has_output() {
+            return;
+        }
+        if self.output.capacity() > RETAINED_CAPACITY {
+            self.output = Vec::new();
+        }
+        self.output.clear();
+        self.written = 0;
+        std::mem::swap(&mut self.output, &mut self.writes.bytes.borrow_mut());
+    }
+
+    fn advance(&mut self, n: usize) {
+        self.written += n;
+        self.writes.account(0, n);
+    }
+
+    /// Writes what is queued, takes what has arrived, and closes. Bytes that arrive after that cross the end.
+    async fn end(&mut self, input: &mut [u8]) -> io::Result<()> {
+        let limits = self.writes.limits;
+        // A peer that reads nothing is not waited for.
+        match tokio::time::timeout(limits.flush_timeout, self.answer_arrived(input)).await {
+            Ok(flushed) => flushed?,
+            Err(_) => return Ok(()),
+        }
+        self.writes.finished.set(true);
+        self.writer.shutdown().await?;
+        if self.writes.close_reason() != Some(CloseReason::Evicted) {
+            let _ = tokio::time::timeout(limits.linger, self.discard(input)).await;
+        }
+        Ok(())
+    }
+
+    async fn answer_arrived(&mut self, input: &mut [u8]) -> io::Result<()> {
+        for _ in 0..MAX_FINAL_READS {
+            self.flush().await?;
+            if !self.read_arrived(input) {
+                break;
             }
         }
-        tokio::select! {
-            read = reader.read(&mut input) => {
-                let n = read?;
-                // Guards against a set-up that is taken up on a connection already marked for closing: its
-                // caller sends it again.
-                if n == 0 || !writes.is_open() || on_bytes(&input[..n]).is_break() {
-                    // What was queued as a last word is still written, as far as it goes at once.
-                    output.drain(..written);
-                    output.append(&mut writes.bytes.borrow_mut());
-                    let _ = writer.try_write(&output);
-                    return Ok(());
-                }
+        self.flush().await
+    }
+
+    fn hand_over(&mut self, bytes: &[u8]) {
+        self.reading = (self.on_bytes)(bytes).is_continue();
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        loop {
+            self.take_queued();
+            if !self.has_output() {
+                return Ok(());
             }
-            wrote = writer.write(&output[written..]), if written < output.len() => written += wrote?,
-            () = writes.wake.notified() => {
-                // Guards against a peer that reads nothing: once cut off it is not waited for.
-                if !writes.is_open() && written < output.len() && writes.bytes.borrow().is_empty() {
-                    let _ = writer.try_write(&output[written..]);
-                    return Ok(());
-                }
+            let n = self.writer.write(&self.output[self.written..]).await?;
+            self.advance(n);
+        }
+    }
+
+    /// Hands over what has arrived, without waiting; false if nothing has.
+    fn read_arrived(&mut self, input: &mut [u8]) -> bool {
+        let mut arrived = false;
+        while let (true, Ok(n @ 1..)) = (self.reading, self.reader.try_read(input)) {
+            arrived = true;
+            self.hand_over(&input[..n]);
+            if n < input.len() {
+                break;
             }
         }
+        arrived
+    }
+
+    async fn discard(&mut self, input: &mut [u8]) {
+        while let Ok(1..) = self.reader.read(input).await {}
     }
 }
 
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -24,7 +24,7 @@
 use crate::interface::*;
 use crate::lifecycle::config::{Config, Listed, Update};
 use crate::metrics::Metrics;
-use crate::net::connection::{Clock, CloseReason, SharedWriteBuffer, Timed};
+use crate::net::connection::{self, Clock, CloseReason, SharedWriteBuffer, Timed, WriteBudget, WriteBuffer};
 use crate::net::enumeration::{self, Resolved};
 use crate::net::exchange_pool::{ConnId, ExchangePool, Failure};
 use crate::net::{client_connections::ClientConnections, sockets};
@@ -102,6 +102,8 @@
     draining: bool,
     /// Nothing new is opened any more.
     stopped: bool,
+    client_budget: Rc<WriteBudget>,
+    server_budget: Rc<WriteBudget>,
     /// How long a caller that is turned away without the module's word is to stay away, ms.
     hold_off: Option<u128>,
     /// Looks numbers up, where that is set up, and for which share of a call's time.
@@ -146,6 +148,8 @@
                 next_conn: 0,
                 draining: false,
                 stopped: false,
+                client_budget: WriteBudget::new(connection::WRITE_BUDGET),
+                server_budget: WriteBudget::new(connection::WRITE_BUDGET),
                 hold_off: limits.retry_after.then_some(limits.max_retry_after.as_millis()),
                 look_up: None,
                 started: now,
@@ -227,6 +231,16 @@
         self.clients.close_idle(true);
     }
 
+    /// An empty buffer for a client's connection.
+    pub(in crate::net) fn client_buffer(&self) -> SharedWriteBuffer {
+        Rc::new(WriteBuffer::new(connection::CLIENT_LIMITS, self.client_budget.clone()))
+    }
+
+    /// An empty buffer for a connection to an exchange or to the coordinator.
+    pub(in crate::net) fn server_buffer(&self) -> SharedWriteBuffer {
+        Rc::new(WriteBuffer::new(connection::SERVER_LIMITS, self.server_budget.clone()))
+    }
+
     /// Connections to each exchange, for the console.
     pub fn pools(&self) -> impl Iterator<Item = (&ExchangeId, &ExchangePool)> {
         self.pools.iter()
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::Instant;
 
-use super::connection::{self, CloseReason, SharedWriteBuffer, WriteBuffer};
+use super::connection::{self, CloseReason};
 use super::exchange_pool::ConnId;
 use super::platform::{Handle, DATAGRAM};
 use crate::interface::ExchangeId;
@@ -28,7 +28,7 @@
 pub async fn dial(me: Handle, exchange: ExchangeId, id: ConnId, address: SocketAddr, within: Duration) {
     match connection::connect(address, within).await {
         Ok(stream) => {
-            let writes: SharedWriteBuffer = Rc::new(WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.1));
+            let writes = me.borrow().server_buffer();
             me.borrow_mut().exchange_up(&exchange, id, writes.clone());
             let mut decoder = jsonl::Decoder::default();
             let ended = connection::run_connection(stream, &writes, |bytes| {
@@ -80,7 +80,7 @@
         }
         // Guards against a rush of connections: those that make room for it are closed before the next comes.
         tokio::task::yield_now().await;
-        let writes: SharedWriteBuffer = Rc::new(WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.0));
+        let writes = platform.borrow().client_buffer();
         let Some(client) = platform.borrow_mut().on_client_connected(writes.clone()) else {
             debug!(platform.borrow().log, "client connection refused"; "reason" => "too many connections");
             platform.borrow().metrics.count_client_close("refused");
@@ -130,7 +130,7 @@
         let (begun, heard) = (Instant::now(), Cell::new(Instant::now()));
         let listen = async {
             let stream = connection::connect(at, within).await?;
-            let writes = WriteBuffer::new(connection::WRITE_BUFFER_LIMITS.0);
+            let writes = platform.borrow().server_buffer();
             let last_event = platform.borrow().last_event;
             writes.enqueue(&coordinator::hello(last_event));
             info!(log, "coordinator connected"; "at" => %at, "last_event" => last_event);
--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -61,3 +61,36 @@
     }
     assert!(sent.elapsed() < Duration::from_secs(4));
 }
+
+/// Answers that exchanges give in one moment were dropped, and their connection closed, when together they
+/// were longer than what may wait for a client that does not read.
+#[test]
+fn answers_that_come_in_one_burst_all_reach_their_client() {
+    const BURST: usize = 8;
+    let exchange = Exchange::start();
+    let router = Router::start(&config(&[exchange.address]));
+    let mut client = router.caller();
+    client.ready();
+    for call in 0..BURST {
+        client.invite(&format!("{:016x}", 0xb00 + call), 1, 3000);
+    }
+    // The window toward the exchange opens with its answers, so those that are out are answered first.
+    let mut answered = 0;
+    let description = "d".repeat(15_000);
+    while answered < BURST {
+        let mut burst = String::new();
+        let mut stream = None;
+        while let Some((start, on, _)) = exchange.heard_within("START", Duration::from_millis(100)) {
+            burst +=
+                &json!({"verb": "STARTED", "tag": start["tag"], "opts": {}, "blob": description}).to_string();
+            burst += "\n";
+            (stream, answered) = (Some(on), answered + 1);
+        }
+        if let Some(mut stream) = stream {
+            stream.write_all(burst.as_bytes()).unwrap();
+        }
+    }
+    let answers = final_answers(&mut client, Duration::from_millis(500));
+    assert_eq!(answers.len(), BURST, "{answers:?}");
+    assert!(answers.values().flatten().all(|first| first.contains(" 200 ")), "{answers:?}");
+}
