Close a client connection only after its open requests are answered

Seen in the reproduction's log: 'client disconnected' with reason protocol_errors and open_requests 1. Ruled out: the stop, a crash and a write buffer that was full, by the same log. Class: a connection's end decided without regard to the requests that are open on it. Change: one way to close a client connection, which waits for its open requests; until then, new requests on it are refused with X-Hold-Off, other faulty messages are passed over, and unreadable bytes are not read further. Result: the four cases of a_connection_with_bad_messages_is_closed_after_its_open_requests_are_answered failed before and pass.

--- a/src/lifecycle/run.rs
+++ b/src/lifecycle/run.rs
@@ -108,7 +108,7 @@
     tokio::time::sleep(STILL_COMING).await;
     taking.abort();
     let open = || {
-        platform.borrow().close_idle();
+        platform.borrow_mut().close_idle();
         let look_ups = front.as_ref().map_or(0, |f| f.borrow().in_hand().0);
         platform.borrow().unanswered() + look_ups
     };
--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -52,6 +52,9 @@
         message: &Message,
         echoed: String,
     ) {
+        if self.clients.is_closing(client) {
+            return self.refuse_new_request(client, &id, &echoed);
+        }
         let Some(offer) = self.offer(&id, number, message) else {
             return self.reject(client, 400, &echoed, "set-up not understood");
         };
@@ -76,10 +79,10 @@
         }
         if let Some(place) = dest.filter(|d| !self.core.exchanges.serves(*d)) {
             debug!(self.log, "destination unknown"; "call_id" => &*id.0, "place" => place.0);
-            return self.reject(client, 404, &echoed, "no such destination");
+            return self.reject(client, 404, &echoed, "destination unknown");
         }
         // Guards memory, and the turn of the others, against a caller that floods one connection.
-        if self.clients.set_ups(client) >= MAX_SET_UPS_PER_CONNECTION {
+        if self.clients.open_requests(client) >= MAX_SET_UPS_PER_CONNECTION {
             debug!(self.log, "request refused"; "call_id" => &*id.0, "connection_id" => client,
                 "reason" => "too many set-ups on the connection");
             self.metrics.count_answer(503, "connection_full");
@@ -137,11 +140,24 @@
         Some((dest, offer))
     }
 
-    /// A message that can't be served.
+    /// A request that comes while its connection is closing: it is not taken up any more.
+    fn refuse_new_request(&mut self, client: u64, id: &CallId, echoed: &str) {
+        if self.invites.contains_key(id) {
+            return; // the open request with this id gets its own answer
+        }
+        debug!(self.log, "request refused"; "call_id" => &*id.0, "connection_id" => client, "reason" => "closing");
+        self.metrics.count_answer(503, "closing");
+        self.send_to_client(client, &sip::response(503, echoed, self.hold_off, b""));
+    }
+
+    /// A message that can't be served; on a connection that is closing it gets no answer of its own.
     pub(super) fn reject(&mut self, client: u64, status: u16, echoed: &str, why: &'static str) {
         debug!(self.log, "message rejected"; "connection_id" => client, "status" => status, "reason" => why,
             "call_id" => call_id_of(echoed), "protocol_errors" => self.clients.protocol_errors(client) + 1);
         self.metrics.count_protocol_error(why);
+        if self.clients.is_closing(client) {
+            return;
+        }
         self.send_to_client(client, &sip::response(status, echoed, None, b""));
         self.clients.record_protocol_error(client);
     }
@@ -174,16 +190,18 @@
 
     /// Final answer to a call that never reached the core.
     pub(super) fn answer_unrouted(&mut self, id: &CallId, status: u16) {
-        self.answer_request(id, status, "unrouted", None, b"");
+        let hold_off = self.hold_off.filter(|_| status == 503);
+        self.answer_request(id, status, "unrouted", hold_off, b"");
     }
 
     /// The caller has given a set-up up.
     pub(super) fn withdraw(&mut self, now: Duration, id: &CallId, tell: bool) {
-        if let Some(invite) = self.take_invite(id) {
-            if tell {
-                self.metrics.count_answer(487, "withdrawn");
-                self.send_to_client(invite.client, &sip::response(487, &invite.echoed, None, b""));
-            }
+        let is_open = if tell {
+            self.answer_request(id, 487, "withdrawn", None, b"")
+        } else {
+            self.take_invite(id).is_some()
+        };
+        if is_open {
             self.core.hang_up(now, id, CLEARED);
         }
     }
@@ -197,11 +215,12 @@
         hold_off: Option<u128>,
         body: &[u8],
     ) -> bool {
-        let Some(invite) = self.take_invite(id) else { return false };
+        let Some(invite) = self.invites.get(id) else { return false };
         debug!(self.log, "request answered"; "call_id" => &*id.0, "connection_id" => invite.client,
             "status" => status, "reason" => reason);
         self.metrics.count_answer(status, reason);
         self.send_to_client(invite.client, &sip::response(status, &invite.echoed, hold_off, body));
+        self.take_invite(id);
         true
     }
 
@@ -239,6 +258,8 @@
         debug!(self.log, "message malformed"; "connection_id" => client, "status" => error.status,
             "reason" => error.why);
         self.metrics.count_protocol_error(error.why);
+        self.send_to_client(client, &sip::response(error.status, "", None, b""));
+        self.clients.request_close(client, CloseReason::MalformedMessage);
     }
 
     /// A client connection has ended; its open requests can't be answered any more.
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -177,7 +177,7 @@
     /// the file's.
     pub fn reload(&mut self, config: &Config) {
         (self.peers, self.peers_all) = (config.peers.clone(), config.peers_all);
-        self.clients.most = max_client_connections(config);
+        self.clients.limit = max_client_connections(config);
         if config.coordinator.is_none() {
             self.apply_known(config);
         }
@@ -215,8 +215,8 @@
     ///
     /// Guards against requests that are taken in the last moment and end with the program: whoever finds its
     /// connection closed asks another router.
-    pub fn close_idle(&self) {
-        self.clients.close_idle(false);
+    pub fn close_idle(&mut self) {
+        self.clients.close_idle(self.clock.now());
     }
 
     /// Answers what is still open and closes all connections, before the program ends. What an exchange
@@ -228,7 +228,7 @@
         looked_up.iter().for_each(|id| self.answer_unrouted(id, 503));
         self.stopped = true;
         self.pools.values().for_each(ExchangePool::close);
-        self.clients.close_idle(true);
+        self.clients.close_all();
     }
 
     /// An empty buffer for a client's connection.
@@ -317,10 +317,10 @@
         let unconfirmed = self.releases.iter().filter(|(_, r)| now >= r.at + RELEASE_RETRY.0);
         let unconfirmed: Vec<CallId> = unconfirmed.map(|(id, _)| id.clone()).collect();
         unconfirmed.iter().for_each(|call| self.release_again(call));
-        for caller in self.clients.sweep(now) {
+        for client in self.clients.sweep(now) {
             self.metrics.count_protocol_error("message_timeout");
-            self.send_to_client(caller, &sip::response(408, "", None, b""));
-            self.clients.close(caller, CloseReason::MessageTimeout);
+            self.send_to_client(client, &sip::response(408, "", None, b""));
+            self.clients.request_close(client, CloseReason::MessageTimeout);
         }
         self.pools.values().for_each(|l| l.sweep(now));
         self.pools.retain(|_, l| !l.is_spent());
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -91,8 +91,7 @@
             let mut decoder = sip::Decoder::default();
             let ended = connection::run_connection(stream, &writes, |bytes| {
                 decoder.feed(bytes);
-                // What comes after the last word is not served.
-                while writes.is_open() {
+                loop {
                     match decoder.take() {
                         Ok(Some(message)) => platform.borrow_mut().on_client_message(client, message),
                         Ok(None) => {
@@ -101,13 +100,10 @@
                         }
                         Err(e) => {
                             platform.borrow_mut().on_malformed_message(client, &e);
-                            writes.enqueue(&sip::response(e.status, "", None, b""));
-                            writes.close(CloseReason::MalformedMessage);
                             return ControlFlow::Break(());
                         }
                     }
                 }
-                ControlFlow::Break(())
             })
             .await;
             let reason = writes.end_reason(&ended);
--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -3,9 +3,10 @@
 mod stand;
 
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{BufRead, Write};
 use std::time::{Duration, Instant};
 
+use rstest::rstest;
 use serde_json::json;
 use stand::*;
 
@@ -94,3 +95,30 @@
     assert_eq!(answers.len(), BURST, "{answers:?}");
     assert!(answers.values().flatten().all(|first| first.contains(" 200 ")), "{answers:?}");
 }
+
+/// A connection that is closed for what came on it later dropped the requests that it had taken before.
+#[rstest]
+#[case::malformed("no SIP at all\r\n\r\n", " 400 ")]
+#[case::too_long("INVITE sip:1@net SIP/2.0\r\nCall-ID: 1\r\nContent-Length: 99999999\r\n\r\n", " 513 ")]
+#[case::never_completed("INVITE sip:1@net SIP/2.0\r\nCall-", " 408 ")]
+#[case::too_many_errors(&"PUBLISH sip:1@net SIP/2.0\r\nCall-ID: 1\r\nContent-Length: 0\r\n\r\n".repeat(9), " 501 ")]
+fn a_connection_with_bad_messages_is_closed_after_its_open_requests_are_answered(
+    #[case] bad: &str,
+    #[case] refusal: &str,
+) {
+    let exchange = Exchange::start();
+    let router = Router::start(&config(&[exchange.address]));
+    let mut client = router.caller();
+    client.ready();
+    client.invite("0000000000000c00", 1, 4500);
+    let (_, stream, _) = exchange.hear("START");
+    client.send(bad);
+    let refused = client.within(Duration::from_secs(3)).expect("a refusal within 3 s");
+    assert!(refused.first.contains(refusal), "{refused:?}");
+    std::thread::sleep(Duration::from_millis(200));
+    started(&stream, "0000000000000c00");
+    let answers = final_answers(&mut client, Duration::from_millis(500));
+    let served = &answers["0000000000000c00"];
+    assert!(served.len() == 1 && served[0].contains(" 200 "), "{answers:?}");
+    assert!(matches!(client.0.fill_buf(), Ok([])), "the connection is still open");
+}
