Serve the places that the settings name, also before an exchange is listed there

Callers saw: 404 for calls to an exchange that was being replaced while the router restarted; another router, or the same one before its restart, would have held them until the exchange was back. Cause: a place counted as a destination only once it had been in the membership of this process (call/exchanges.rs, serves); after a restart the known membership lacks the exchanges that are gone just then. The log shows 'destination unknown' until the exchange is listed again. Ruled out: a late coordinator, since the exchange was gone in the coordinator as well. Change: in a mesh the places under the fleet's size are destinations, and everywhere those that the classes name; others are still answered 404.

--- a/src/call/core.rs
+++ b/src/call/core.rs
@@ -148,11 +148,11 @@
 
 impl Core {
     /// Puts a controller to work.
-    pub fn new(controller: Controller, now: Duration) -> Self {
+    pub fn new(controller: Controller, exchanges: Exchanges, now: Duration) -> Self {
         Self {
             controller,
             calls: Calls::default(),
-            exchanges: Exchanges::default(),
+            exchanges,
             timers: Timers::default(),
             events: VecDeque::new(),
             effects: Vec::new(),
--- a/src/call/exchanges.rs
+++ b/src/call/exchanges.rs
@@ -2,17 +2,29 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::interface::{Entry, ExchangeId, Health, ListKind, Place};
+use crate::interface::{Entry, ExchangeId, Health, ListKind, Place, Settings, Topology};
 
 /// The exchanges that are listed, with their last lines.
 #[derive(Debug, Default)]
 pub struct Exchanges {
     lines: BTreeMap<ExchangeId, Entry>,
-    /// Every place that was ever listed; they are few, however often their exchanges change.
+    /// Every place that was ever listed or that the settings name; they are few, however often their exchanges
+    /// change.
     places: BTreeSet<Place>,
+    /// Places under this number belong to the deployment, listed or not.
+    numbered_below: u32,
 }
 
 impl Exchanges {
+    /// No exchange listed yet; places that the settings name are served once one is. In a mesh each router has
+    /// an exchange of its own, numbered as the routers are.
+    pub fn expecting(settings: &Settings) -> Self {
+        let meshed = matches!(settings.topology, Topology::Meshed(_));
+        let places = settings.classes.iter().flat_map(|class| class.pools.iter().copied()).collect();
+        let numbered_below = if meshed { settings.fleet_size } else { 0 };
+        Self { lines: BTreeMap::new(), places, numbered_below }
+    }
+
     /// Applies news; returns the exchanges that are gone with it.
     pub fn apply(&mut self, kind: ListKind, entries: &[Entry]) -> Vec<ExchangeId> {
         let whole = matches!(kind, ListKind::Full | ListKind::Stored);
@@ -38,7 +50,7 @@
 
     /// Whether a place is one that calls can go to, now or when its exchange is back.
     pub fn serves(&self, place: Place) -> bool {
-        self.places.contains(&place)
+        place.0 < self.numbered_below || self.places.contains(&place)
     }
 
     /// Whether the exchange is listed.
--- a/src/net/enumeration.rs
+++ b/src/net/enumeration.rs
@@ -21,6 +21,7 @@
 use super::connection::{self, Clock, Timed};
 use crate::call::calls::Origin;
 use crate::call::core::{Core, Effect, Reply, Request};
+use crate::call::exchanges::Exchanges;
 use crate::interface::*;
 use crate::lifecycle::config::Enum;
 use crate::protocol::dns::{self, Lead, Message, Name, Naptr};
@@ -112,7 +113,7 @@
         active: Rc<Cell<bool>>,
     ) -> Result<Handle, SettingsError> {
         let now = clock.now();
-        let core = Core::new(Controller::new(setup.settings.clone(), seed, now)?, now);
+        let core = Core::new(Controller::new(setup.settings.clone(), seed, now)?, Exchanges::default(), now);
         Ok(Rc::new_cyclic(|me| {
             let mut front = Self {
                 me: me.clone(),
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::call::calls::Origin;
 use crate::call::core::{Core, Effect, Reply, Request, CLEARED, CUT};
+use crate::call::exchanges::Exchanges;
 use crate::interface::*;
 use crate::lifecycle::config::{Config, Listed, Update};
 use crate::metrics::Metrics;
@@ -127,11 +128,12 @@
     /// When the decision module takes the settings for senseless.
     pub fn new(config: &Config, log: Logger, clock: Clock) -> Result<Handle, SettingsError> {
         let (now, limits) = (clock.now(), &config.settings.limits);
+        let exchanges = Exchanges::expecting(&config.settings);
         let controller = Controller::new(config.settings.clone(), config.seed, now)?;
         let platform = Rc::new_cyclic(|me| {
             RefCell::new(Self {
                 me: me.clone(),
-                core: Core::new(controller, now),
+                core: Core::new(controller, exchanges, now),
                 clock,
                 log,
                 metrics: Metrics::default(),
