Time a stop by the deployment's deadline: answer everything before the earliest kill

Callers saw: in deployments whose longest deadline is under 3 s, or over it, a stopping router was killed with requests that it had taken and not answered; those that it gave up at the end got 500 and no X-Hold-Off. Cause: lifecycle/run.rs waited for the longest deadline or 3 s, whichever was longer, and 0.5 s, while the kill may come 0.7 s after the longest deadline, counted as 3 s where it is longer. With 0.4 s the kill came at 1.1 s and connections were served to 1.3 s at least; with 9 s the rest was to be answered at 9.5 s, and the kill came at 3.7. Connections that waited to be accepted when the listener closed were reset. Change: policy/shutdown.rs derives the times from the deadline; at the stop the decision module gives up what is open (refused where that is harmless, failed otherwise); the accept queue is served before the listener closes; once given up, exchange connections are closed first, so that no release is taken that no client can be told.

--- a/src/call/core.rs
+++ b/src/call/core.rs
@@ -341,8 +341,11 @@
     }
 
     /// Answers whatever is still unanswered, before the program ends.
-    pub fn finish(&mut self, now: Duration) {
+    pub fn give_up_all(&mut self, now: Duration) {
         self.at(now);
+        let mut actions = Vec::new();
+        self.controller.give_up_all(self.now, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(action));
         let open = self.calls.open.iter().filter(|(_, c)| !c.stands);
         let open: Vec<CallId> = open.map(|(id, _)| id.clone()).collect();
         open.iter().for_each(|id| self.overdue(id));
--- a/src/lifecycle/run.rs
+++ b/src/lifecycle/run.rs
@@ -7,26 +7,23 @@
 use std::time::Duration;
 
 use slog::{info, warn, Logger};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 
 use super::config::Config;
 use super::console::{self, View};
 use crate::net::connection::{self, Clock};
 use crate::net::enumeration::{self, Front};
-use crate::net::platform::Platform;
+use crate::net::platform::{Handle, Platform};
 use crate::net::sockets;
 use crate::net::standby::{self, Standby};
+use crate::policy::shutdown::ShutdownSchedule;
 use crate::protocol::vrrp::Router;
 
-/// After SIGTERM connections and requests go on coming for 0.6 s, stragglers for longer; this covers them.
-/// Then no more connections are taken, and those that wait for nothing are closed.
-const STILL_COMING: Duration = Duration::from_millis(1300);
-/// What is still unanswered is answered after the longest deadline, counted as 3 s where it is shorter, and
-/// this: before anyone ends the program by force, which comes 0.2 s later at the earliest.
-const LAST_ANSWERS: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(500));
-/// For the last answers to be written.
-const LAST_WORDS: Duration = Duration::from_millis(100);
+/// How often a stopping router looks whether it is done.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Any reason for which the program can't start.
 pub type Failure = Box<dyn std::error::Error>;
@@ -82,7 +79,7 @@
         standby = Some(made);
     }
     info!(log, "started"; "name" => &config.name, "listen" => %listener.local_addr()?);
-    let taking = tokio::task::spawn_local(sockets::accept(platform.clone(), listener));
+    let accepting = Accepting::start(platform.clone(), listener);
     let view = View { name: config.name.clone(), platform, front, standby };
     let (platform, front, standby) = (view.platform.clone(), view.front.clone(), view.standby.clone());
     let console = config.console;
@@ -104,22 +101,30 @@
     if let Some(standby) = standby {
         standby.stop();
     }
-    let (begun, last) = (tokio::time::Instant::now(), longest.max(LAST_ANSWERS.0) + LAST_ANSWERS.1);
-    tokio::time::sleep(STILL_COMING).await;
-    taking.abort();
-    let open = || {
-        platform.borrow_mut().close_idle();
+    let schedule = ShutdownSchedule::new(longest);
+    let begun = tokio::time::Instant::now();
+    tokio::time::sleep(schedule.close_idle_after).await;
+    accepting.stop.notify_one();
+    let _ = accepting.task.await;
+    info!(log, "listener closed"; "unanswered" => platform.borrow().unanswered());
+    let is_done = || {
+        platform.borrow_mut().close_idle_clients();
         let look_ups = front.as_ref().map_or(0, |f| f.borrow().in_hand().0);
-        platform.borrow().unanswered() + look_ups
+        !platform.borrow().has_clients() && look_ups == 0
     };
-    while open() > 0 && begun.elapsed() < last {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+    while !is_done() && begun.elapsed() < schedule.give_up_after {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
+    info!(log, "giving up open requests"; "unanswered" => platform.borrow().unanswered());
     if let Some(front) = &front {
         front.borrow_mut().finish();
     }
-    platform.borrow_mut().finish();
-    tokio::time::sleep(LAST_WORDS).await;
+    platform.borrow_mut().stop();
+    while platform.borrow().has_clients() && begun.elapsed() < schedule.exit_after {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+    }
+    // Answers of the ENUM front and releases at exchanges are written by their own tasks.
+    tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     for line in platform.borrow().metrics.encode().lines().filter(|line| !line.starts_with('#')) {
         info!(log, "counter at stop"; "series" => line);
     }
@@ -157,6 +162,20 @@
     }
 }
 
+/// The task that accepts client connections, and the way to end it.
+struct Accepting {
+    stop: Rc<Notify>,
+    task: JoinHandle<()>,
+}
+
+impl Accepting {
+    fn start(platform: Handle, listener: TcpListener) -> Self {
+        let stop = Rc::new(Notify::new());
+        let task = tokio::task::spawn_local(sockets::accept(platform, listener, stop.clone()));
+        Self { stop, task }
+    }
+}
+
 async fn bind(key: &str, at: SocketAddr) -> Result<UdpSocket, Failure> {
     Ok(UdpSocket::bind(at).await.map_err(|e| format!("{key}: {at}: {e}"))?)
 }
--- a/src/net/enumeration.rs
+++ b/src/net/enumeration.rs
@@ -179,7 +179,7 @@
 
     /// Answers what is still open, before the program ends.
     pub fn finish(&mut self) {
-        self.core.finish(self.clock.now());
+        self.core.give_up_all(self.clock.now());
         self.flush();
     }
 
--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -52,7 +52,7 @@
         message: &Message,
         echoed: String,
     ) {
-        if self.clients.is_closing(client) {
+        if self.is_stopping || self.clients.is_closing(client) {
             return self.refuse_new_request(client, &id, &echoed);
         }
         let Some(offer) = self.offer(&id, number, message) else {
@@ -140,7 +140,7 @@
         Some((dest, offer))
     }
 
-    /// A request that comes while its connection is closing: it is not taken up any more.
+    /// A request that comes while its connection, or the router, is closing: it is not taken up any more.
     fn refuse_new_request(&mut self, client: u64, id: &CallId, echoed: &str) {
         if self.invites.contains_key(id) {
             return; // the open request with this id gets its own answer
--- a/src/net/platform/effects.rs
+++ b/src/net/platform/effects.rs
@@ -57,7 +57,7 @@
                 }
             }
             Effect::Refuse { call, stay_away, .. } => {
-                let hold_off = stay_away.map(|d| d.as_millis());
+                let hold_off = stay_away.map(|d| d.as_millis()).or(self.hold_off);
                 self.answer_request(&call, 503, "refused", hold_off, b"");
             }
             Effect::Fail { call, .. } => {
--- a/src/net/platform/exchanges.rs
+++ b/src/net/platform/exchanges.rs
@@ -4,6 +4,9 @@
 
 impl Platform {
     pub(in crate::net) fn exchange_line(&mut self, exchange: &ExchangeId, conn: ConnId, line: &jsonl::Line) {
+        if self.is_stopped {
+            return; // no client is left to be told; the exchange tells the next process
+        }
         let now = self.clock.now();
         let id = CallId(line.tag.as_str().into());
         let answers = matches!(line.verb.as_str(), "STARTED" | "FINISH");
@@ -66,7 +69,7 @@
             self.core.cut(now, exchange);
             return self.flush();
         }
-        if self.stopped || !pool.wants_connect(now, missed) || !pool.make_room() {
+        if self.is_stopped || !pool.wants_connect(now, missed) || !pool.make_room() {
             return;
         }
         pool.connecting = true;
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -101,8 +101,10 @@
     pools: BTreeMap<ExchangeId, ExchangePool>,
     next_conn: u64,
     draining: bool,
-    /// Nothing new is opened any more.
-    stopped: bool,
+    /// No request is taken up any more.
+    is_stopping: bool,
+    /// The connections to exchanges are closed for good.
+    is_stopped: bool,
     client_budget: Rc<WriteBudget>,
     server_budget: Rc<WriteBudget>,
     /// How long a caller that is turned away without the module's word is to stay away, ms.
@@ -149,7 +151,8 @@
                 pools: BTreeMap::new(),
                 next_conn: 0,
                 draining: false,
-                stopped: false,
+                is_stopping: false,
+                is_stopped: false,
                 client_budget: WriteBudget::new(connection::WRITE_BUDGET),
                 server_budget: WriteBudget::new(connection::WRITE_BUDGET),
                 hold_off: limits.retry_after.then_some(limits.max_retry_after.as_millis()),
@@ -213,22 +216,24 @@
         self.invites.len()
     }
 
-    /// Closes the callers' connections on which nothing waits for an answer.
-    ///
-    /// Guards against requests that are taken in the last moment and end with the program: whoever finds its
-    /// connection closed asks another router.
-    pub fn close_idle(&mut self) {
+    /// Closes the client connections on which nothing waits for an answer; their clients ask another router.
+    pub fn close_idle_clients(&mut self) {
         self.clients.close_idle(self.clock.now());
     }
 
-    /// Answers what is still open and closes all connections, before the program ends. What an exchange
-    /// tells after that comes on the next connection opened to it.
-    pub fn finish(&mut self) {
-        self.core.finish(self.clock.now());
+    /// Whether a client is still connected.
+    pub fn has_clients(&self) -> bool {
+        !self.clients.is_empty()
+    }
+
+    /// Answers every open request and takes up no other. Client connections are closed when they are answered,
+    /// those to exchanges at once: what an exchange tells from now on is for the next process.
+    pub fn stop(&mut self) {
+        self.core.give_up_all(self.clock.now());
         self.flush();
-        let looked_up: Vec<CallId> = self.invites.keys().cloned().collect();
-        looked_up.iter().for_each(|id| self.answer_unrouted(id, 503));
-        self.stopped = true;
+        let unrouted: Vec<CallId> = self.invites.keys().cloned().collect();
+        unrouted.iter().for_each(|id| self.answer_unrouted(id, 503));
+        (self.is_stopping, self.is_stopped) = (true, true);
         self.pools.values().for_each(ExchangePool::close);
         self.clients.close_all();
     }
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -8,10 +8,11 @@
 use std::time::Duration;
 
 use slog::{debug, info, warn};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::connection::{self, CloseReason};
+use super::connection::{self, CloseReason, SharedWriteBuffer};
 use super::exchange_pool::ConnId;
 use super::platform::{Handle, DATAGRAM};
 use crate::interface::ExchangeId;
@@ -21,6 +22,8 @@
 const COORDINATOR_SILENT: Duration = Duration::from_millis(2000);
 /// Two connects to it are so far apart at least.
 const COORDINATOR_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a failed accept, as when no descriptor is left.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// How often pools are looked after.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -28,7 +31,7 @@
 pub async fn dial(me: Handle, exchange: ExchangeId, id: ConnId, address: SocketAddr, within: Duration) {
     match connection::connect(address, within).await {
         Ok(stream) => {
-            let writes = me.borrow().server_buffer();
+            let writes: SharedWriteBuffer = me.borrow().server_buffer();
             me.borrow_mut().exchange_up(&exchange, id, writes.clone());
             let mut decoder = jsonl::Decoder::default();
             let ended = connection::run_connection(stream, &writes, |bytes| {
@@ -64,53 +67,64 @@
     connection::keep_time(platform, clock, due, LOOK).await;
 }
 
-/// Takes connections of clients.
-pub async fn accept(platform: Handle, listener: TcpListener) {
+/// Accepts client connections until `stop`, then once more those that wait already.
+pub async fn accept(platform: Handle, listener: TcpListener, stop: Rc<Notify>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.notified() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_client(&platform, stream),
             Err(e) => {
                 warn!(platform.borrow().log, "accept failed"; "error" => %e);
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
-        };
-        if stream.set_nodelay(true).is_err() {
-            continue;
         }
-        // Guards against a rush of connections: those that make room for it are closed before the next comes.
+        // In a rush of connections, those that make room are closed before the next is accepted.
         tokio::task::yield_now().await;
-        let writes = platform.borrow().client_buffer();
-        let Some(client) = platform.borrow_mut().on_client_connected(writes.clone()) else {
-            debug!(platform.borrow().log, "client connection refused"; "reason" => "too many connections");
-            platform.borrow().metrics.count_client_close("refused");
-            continue;
-        };
-        let platform = platform.clone();
-        tokio::task::spawn_local(async move {
-            let mut decoder = sip::Decoder::default();
-            let ended = connection::run_connection(stream, &writes, |bytes| {
-                decoder.feed(bytes);
-                loop {
-                    match decoder.take() {
-                        Ok(Some(message)) => platform.borrow_mut().on_client_message(client, message),
-                        Ok(None) => {
-                            platform.borrow_mut().on_client_read(client, decoder.is_amid());
-                            return ControlFlow::Continue(());
-                        }
-                        Err(e) => {
-                            platform.borrow_mut().on_malformed_message(client, &e);
-                            return ControlFlow::Break(());
-                        }
-                    }
-                }
-            })
-            .await;
-            let reason = writes.end_reason(&ended);
-            writes.close(reason);
-            platform.borrow_mut().on_client_disconnected(client, reason, &ended);
-        });
     }
+    while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        serve_client(&platform, stream);
+    }
+}
+
+/// Admits a client connection, and starts the task that reads and writes on it until it ends.
+fn serve_client(platform: &Handle, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return; // the client has reset it already
+    }
+    let writes = platform.borrow().client_buffer();
+    let Some(client) = platform.borrow_mut().on_client_connected(writes.clone()) else {
+        debug!(platform.borrow().log, "client connection refused"; "reason" => "too many connections");
+        platform.borrow().metrics.count_client_close("refused");
+        return;
+    };
+    tokio::task::spawn_local(run_client(platform.clone(), client, stream, writes));
+}
+
+async fn run_client(platform: Handle, client: u64, stream: TcpStream, writes: SharedWriteBuffer) {
+    let mut decoder = sip::Decoder::default();
+    let ended = connection::run_connection(stream, &writes, |bytes| {
+        decoder.feed(bytes);
+        loop {
+            match decoder.take() {
+                Ok(Some(message)) => platform.borrow_mut().on_client_message(client, message),
+                Ok(None) => {
+                    platform.borrow_mut().on_client_read(client, decoder.is_amid());
+                    return ControlFlow::Continue(());
+                }
+                Err(e) => {
+                    platform.borrow_mut().on_malformed_message(client, &e);
+                    return ControlFlow::Break(());
+                }
+            }
+        }
+    })
+    .await;
+    let reason = writes.end_reason(&ended);
+    writes.close(reason);
+    platform.borrow_mut().on_client_disconnected(client, reason, &ended);
 }
 
 /// Follows the coordinator: connects anew when it breaks off, falls silent or is changed by a reload, each
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,8 @@
 //! paper's control of one processor, what is known of the exchanges, then the path of one call.
 //! Symbols A, X, T, θ, λs, C, B, γ are those of the Proteo paper (sections 4, 10 and 11).
 
+pub mod shutdown;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -696,6 +698,19 @@
         out.push(if call.doubtful { Action::Fail(id.clone()) } else { refusal });
     }
 
+    /// Gives up every call that does not stand, since the router stops.
+    pub fn give_up_all(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.now = self.now.max(now.as_secs_f64());
+        let open: Vec<CallId> =
+            self.calls.iter().filter(|(_, c)| !c.stands).map(|(id, _)| id.clone()).collect();
+        for id in open {
+            let Some(call) = self.calls.get_mut(&id) else { continue };
+            let safe = self.set.classes[call.class].effect == Effect::Safe;
+            call.doubtful |= call.out.is_some() && !safe;
+            self.refuse(&id, out);
+        }
+    }
+
     fn expect_redial(&mut self, call: &Call) {
         if !call.stands && !call.offer.transit {
             self.redials.insert(call.offer.number.clone(), call.dialled);
--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -122,3 +122,51 @@
     assert!(served.len() == 1 && served[0].contains(" 200 "), "{answers:?}");
     assert!(matches!(client.0.fill_buf(), Ok([])), "the connection is still open");
 }
+
+/// A stopping router waited for its longest deadline as if none were under 3 s or over it, and was killed with
+/// requests that it had taken and not answered.
+#[rstest]
+#[case::deadline_under_a_second(400, 1100)]
+#[case::deadline_of_nine_seconds(9000, 3700)]
+fn a_stopping_router_answers_what_it_has_taken_before_it_can_be_killed(
+    #[case] deadline_ms: u64,
+    #[case] kill_after_ms: u64,
+) {
+    let exchange = Exchange::start(); // it never answers
+    let mut settings = config(&[exchange.address]);
+    settings["settings"]["Classes"][0]["DeadlineNs"] = json!(deadline_ms * 1_000_000);
+    let mut router = Router::start(&settings);
+    let (mut client, mut busy) = (router.caller(), router.caller());
+    client.ready();
+    client.invite("0000000000000d00", 1, deadline_ms as u32);
+    exchange.hear("START");
+    let mut writer = busy.0.get_ref().try_clone().unwrap();
+    let answers = std::thread::spawn(move || (final_answers(&mut busy, LIMIT), Instant::now()));
+    let killed_at = Instant::now() + Duration::from_millis(kill_after_ms);
+    router.signal("-TERM");
+    // One client goes on sending on its open connection until the kill, or until it sees the connection end.
+    let mut sent = Vec::new();
+    for call in 0.. {
+        let id = format!("{:016x}", 0xd01 + call);
+        let text = format!(
+            "INVITE sip:1@net SIP/2.0\r\nCall-ID: {id}\r\nCSeq: 1 INVITE\r\nX-Call-Class: voice\r\n\
+             X-Ring-Limit: {deadline_ms}\r\nX-Dest: dest:1;width:1;via:-1\r\nContent-Length: 0\r\n\r\n"
+        );
+        let over = Instant::now() >= killed_at || answers.is_finished();
+        if over || writer.write_all(text.as_bytes()).is_err() {
+            break;
+        }
+        sent.push((id, Instant::now()));
+        std::thread::sleep(Duration::from_millis(7));
+    }
+    let _ = router.child.kill();
+    let (answers, closed_at) = answers.join().unwrap();
+    let first = client.hear();
+    assert!(first.first.contains(" 503 ") && first.has("X-Hold-Off: 2000"), "{first:?}");
+    // What is written within 50 ms of the close has crossed it.
+    let crossed = closed_at - Duration::from_millis(50);
+    let lost = |(id, at): &&(String, Instant)| *at < crossed && answers.get(id).map(Vec::len) != Some(1);
+    let lost: Vec<_> = sent.iter().filter(lost).collect();
+    assert!(lost.is_empty(), "{} of {} lost: {lost:?}", lost.len(), sent.len());
+    assert!(closed_at < killed_at, "closed by the kill only");
+}
