--- /dev/null
+++ b/emulator/src/router.rs
@@ -0,0 +1,121 @@
+//! The router as a process: its configuration, start, signals and end.
+
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+
+use crate::scenario::Scenario;
+
+/// One process.
+#[derive(Debug)]
+pub struct Router {
+    child: Child,
+}
+
+impl Router {
+    /// Starts a program with a configuration file; its log is appended to a file.
+    ///
+    /// # Errors
+    /// When the files can't be opened or the program can't be started.
+    pub fn start(program: &Path, config: &Path, log: &Path) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let mut command = Command::new(program);
+        command.env("LB_CONFIG", config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        Ok(Self { child: command.spawn()? })
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
+            // A process that has ended already needs none.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// How it ended, once it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> Option<usize> {
+        Some(std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).ok()?.count())
+    }
+
+    /// Resident memory in MB.
+    pub fn memory_mb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        Some(line.trim().split(' ').next()?.parse::<u64>().ok()? / 1024)
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The configuration file of one run; it is replaced as a whole.
+#[derive(Debug)]
+pub struct ConfigFile {
+    path: PathBuf,
+    value: Value,
+}
+
+impl ConfigFile {
+    /// A configuration for a scenario.
+    pub fn new(path: PathBuf, scenario: &Scenario, listen: SocketAddr) -> Self {
+        let class = |c: &crate::scenario::ClassTerms| {
+            json!({"Name": c.name, "AimNs": nanos(c.aim), "DeadlineNs": nanos(c.deadline), "Worth": 1.0,
+                "LateShare": 0.2, "Effect": if c.safe { "safe" } else { "unsafe" }, "DedupScope": "all",
+                "Stream": true, "WindowNs": 5_000_000_000_u64})
+        };
+        let terms = &scenario.terms;
+        let classes: Vec<Value> = terms.classes.iter().map(class).collect();
+        let value = json!({
+            "name": "n0", "listen": listen.to_string(), "seed": format!("{:016x}", scenario.seed),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": scenario.sockets},
+            "settings": {
+                "Classes": classes, "FleetSize": scenario.exchanges, "Me": terms.own_place,
+                "Dcs": ["east"], "Clients": {"MarksRetry": true}, "TickNs": 5_000_000, "Zone": 0,
+                "Domain": {"OwnNumber": terms.own_place, "Topology": "meshed", "GuardNs": nanos(terms.guard),
+                    "ChannelsNeeded": terms.classes.iter().map(|_| 1).collect::<Vec<u32>>()},
+                "Stats": {"How": "answers", "Names": ["spare", "total", "lat_ms"]},
+                "Contract": {"DrainGraceNs": nanos(terms.drain_grace), "ColdFrom": 0.28,
+                    "ColdNs": 14_000_000_000_u64, "FallMultiple": 2.0, "FallNs": 1_000_000_000},
+                "PolicyLimits": {"MaxAttempts": 5, "Cancelling": true, "RetryAfter": terms.hold_off,
+                    "MaxRetryAfterNs": 2_000_000_000, "ConnectTimeoutNs": 500_000_000}}});
+        Self { path, value }
+    }
+
+    /// Where it lies.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Sets a key at the top.
+    pub fn set(&mut self, key: &str, value: Value) {
+        self.value[key] = value;
+    }
+
+    /// Writes it in one step.
+    ///
+    /// # Errors
+    /// When the file can't be written.
+    pub fn write(&self) -> io::Result<()> {
+        let fresh = self.path.with_extension("new");
+        std::fs::write(&fresh, self.value.to_string())?;
+        std::fs::rename(&fresh, &self.path)
+    }
+}
+
+fn nanos(duration: std::time::Duration) -> u64 {
+    duration.as_nanos() as u64
+}
