Fail a call that may not be repeated and whose answer was lost, instead of refusing it

Callers saw: 503, so 'trying again is harmless', for a call of a class that may not be repeated and that had run. Cause: on_ended (policy/mod.rs) took only time-outs, resets, cancels and errors for attempts that may have run; an exchange that releases a call with cause 16 before its answer has run it too. Change: such an end marks the call as one that may have run; it is answered 500. Result: an_unsafe_call_that_ended_before_its_answer_came_is_failed_not_refused failed before and passes.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -816,7 +816,8 @@
             call.guard_until = self.now + self.set.guard.as_secs_f64() + self.set.tick.as_secs_f64();
         }
         let safe = self.set.classes[call.class].effect == Effect::Safe;
-        call.doubtful |= !safe && (guarded || outcome.status == Status::Error);
+        let ran = matches!(outcome.status, Status::Ended | Status::Error);
+        call.doubtful |= !safe && (guarded || ran);
         let full = matches!(outcome.cause, Some(Cause::TurnedBackFull | Cause::ProcessorFull(_)));
         if full || outcome.status == Status::Error {
             // No way leads round a full processor or busy lines; what merely failed goes again in time.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -171,6 +171,20 @@
     assert_eq!(sends.count(), 1);
 }
 
+/// A call that ended at its exchange before its answer came has run, so its client may not be told that trying
+/// again is harmless.
+#[test]
+fn an_unsafe_call_that_ended_before_its_answer_came_is_failed_not_refused() {
+    for status in [Status::Ended, Status::Error] {
+        let mut net = Net::new(settings(4), 1);
+        let call = net.offer(1, 2);
+        net.ends(&call, status, None);
+        net.pass(ms(3000));
+        assert!(net.log.contains(&Action::Fail(call.clone())), "{status:?}: {:?}", net.log);
+        assert!(!net.log.iter().any(|a| matches!(a, Action::Refuse { .. })), "{status:?}");
+    }
+}
+
 fn random_run(seed: u64) -> Vec<Action> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut net = Net::new(settings(5), seed);
