Stop taking releases once no client is left that can be told of them

Callers saw: a call that was over stayed standing for them when its release came in the last moments of a stop. Cause: between the close of the last idle client connection and the end of the process, releases were taken from exchanges and confirmed, though none could be passed on; a connection that had never sent a whole message was taken for a client (lifecycle/run.rs, for_release in net/client_connections.rs). Class: as in the incident, an end that disregards what is still open, here towards exchanges. Result: a_stopping_router_takes_no_release_that_it_can_tell_no_client failed before and passes.

--- a/src/net/client_connections.rs
+++ b/src/net/client_connections.rs
@@ -110,6 +110,11 @@
         self.open.is_empty()
     }
 
+    /// Whether a client is left that can be told of a release: one that has sent a whole message.
+    pub fn any_reachable(&self) -> bool {
+        self.open.values().any(|c| c.writes.is_open() && c.last_received_at.is_some())
+    }
+
     /// A whole message has come.
     pub fn on_message(&mut self, now: Duration, id: u64) {
         if let Some(client) = self.open.get_mut(&id) {
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -216,9 +216,13 @@
         self.invites.len()
     }
 
-    /// Closes the client connections on which nothing waits for an answer; their clients ask another router.
+    /// Closes the client connections on which nothing waits for an answer; their clients ask another router. Once
+    /// none is left, what an exchange tells can't be passed on any more: the router stops.
     pub fn close_idle_clients(&mut self) {
         self.clients.close_idle(self.clock.now());
+        if !self.clients.any_reachable() {
+            self.stop();
+        }
     }
 
     /// Whether a client is still connected.
--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -170,3 +170,27 @@
     assert!(lost.is_empty(), "{} of {} lost: {lost:?}", lost.len(), sent.len());
     assert!(closed_at < killed_at, "closed by the kill only");
 }
+
+/// A stopping router took a release while the only client left had never sent a whole message; nobody was told
+/// that the call was over, and its exchange held it for told.
+#[test]
+fn a_stopping_router_takes_no_release_that_it_can_tell_no_client() {
+    let exchange = Exchange::start();
+    let router = Router::start(&config(&[exchange.address]));
+    let mut client = router.caller();
+    client.ready();
+    client.invite("0000000000000e00", 1, 3000);
+    let (_, stream, _) = exchange.hear("START");
+    started(&stream, "0000000000000e00");
+    assert!(client.hear().first.contains(" 200 "));
+    router.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(900));
+    let mut silent = router.caller();
+    silent.send("INVITE sip:1@net SIP/2.0\r\nCall-");
+    assert!(client.within(LIMIT).is_none(), "the idle client is closed");
+    std::thread::sleep(Duration::from_millis(20));
+    let line = json!({"verb": "FINISH", "tag": "0000000000000e00", "opts": {}, "rc": 16});
+    let _ = (&stream).write_all(format!("{line}\n").as_bytes());
+    let confirmed = exchange.heard_within("FINISHED", Duration::from_millis(300));
+    assert!(confirmed.is_none(), "confirmed with no client to tell");
+}
