Mend the soak rig: attempts end with their connection, cut calls are released once back

Cause: the rig took an attempt for ended only when its answer's last pause was over, forgot answers that waited on a reset connection, and asked for releases that nobody could know of: of an exchange gone for good whose router was killed with it. Change: attempts end with the connection that carries them; these releases are excused, the others are not.

--- a/emulator/src/exchange.rs
+++ b/emulator/src/exchange.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep, Instant};
 
-use crate::ledger::{AttemptEnd, Ledger, Request, Rule};
+use crate::ledger::{AttemptEnd, Ledger, Request, Route, Rule};
 use crate::scenario::Scenario;
 
 /// The protocol's limit of connections to one exchange.
@@ -160,7 +160,7 @@
     pub async fn vanish(&self, length: Duration) -> u64 {
         self.is_cut.set(true);
         sleep(length).await;
-        self.die();
+        self.die(true);
         self.mend();
         self.revive(false)
     }
@@ -177,19 +177,25 @@
         self.resets.send_modify(|n| *n += 1);
     }
 
-    /// The process ends: its connections are reset, its calls are cut.
-    pub fn die(&self) {
+    /// The process ends: its connections are reset, its calls are cut. A machine that comes back sends their
+    /// releases on the next connection opened; one that is gone for good sends none.
+    pub fn die(&self, comes_back: bool) {
         self.is_dead.set(true);
         self.process.set(self.process.get() + 1);
         let mut ledger = self.ledger.borrow_mut();
         for (call, state) in self.calls.take() {
-            if state.stands {
-                ledger.on_call_cut(&call);
-            } else {
-                ledger.on_attempt_end(&call, self.id(), AttemptEnd::Reset);
+            match (state.stands, comes_back) {
+                (false, _) => ledger.on_attempt_end(&call, self.id(), AttemptEnd::Reset),
+                (true, false) => ledger.on_call_forgotten(&call),
+                (true, true) => {
+                    ledger.on_call_over(&call);
+                    self.unconfirmed.borrow_mut().push(call);
+                }
             }
         }
-        self.unconfirmed.take().iter().for_each(|call| ledger.on_release_forgotten(call));
+        if !comes_back {
+            self.unconfirmed.take().iter().for_each(|call| ledger.on_call_forgotten(call));
+        }
         drop(ledger);
         self.reset_connections();
     }
@@ -282,13 +288,12 @@
         drop(reader);
         self.connections.borrow_mut().remove(&number);
         // A closed connection gives up the set-ups open on it; calls that stand go on.
-        let open = |s: &CallState| s.connection == number && !s.stands;
-        let given_up: Vec<String> =
-            self.calls.borrow().iter().filter(|(_, s)| open(s)).map(|(c, _)| c.clone()).collect();
-        for call in given_up {
-            self.calls.borrow_mut().remove(&call);
-            self.ledger.borrow_mut().on_attempt_end(&call, self.id(), AttemptEnd::Reset);
-        }
+        self.calls.borrow_mut().retain(|_, s| s.connection != number || s.stands);
+        self.ledger.borrow_mut().on_route_ended(self.route(number));
+    }
+
+    fn route(&self, connection: u64) -> Route {
+        Route { place: self.place, connection }
     }
 
     async fn read(&self, reader: &mut OwnedReadHalf, number: u64) {
@@ -314,7 +319,7 @@
                     self.ledger.borrow_mut().violate(Rule::Content, format!("no JSON line: {line:?}"));
                     continue;
                 };
-                self.observe(&message, begun);
+                self.observe(&message, begun, number);
                 if self.is_cut.get() {
                     held.push(message);
                 } else {
@@ -326,7 +331,7 @@
     }
 
     /// What the rules see of a message, when it leaves the router.
-    fn observe(&self, message: &Value, begun: Instant) {
+    fn observe(&self, message: &Value, begun: Instant, number: u64) {
         let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
         let (call, opts) = (text(&message["tag"]), &message["opts"]);
         let mut ledger = self.ledger.borrow_mut();
@@ -342,7 +347,7 @@
                 };
                 ledger.on_attempt(
                     self.id(),
-                    self.place,
+                    self.route(number),
                     begun,
                     &sent,
                     opts["class"].as_str().unwrap_or_default(),
@@ -385,9 +390,9 @@
         }
         let piece = (bytes.len() / 4).max(1);
         for part in bytes.chunks(piece) {
-            writer.write_all(part).await?;
             let pause = self.rng.borrow_mut().u64(0..30);
             sleep(Duration::from_millis(pause)).await;
+            writer.write_all(part).await?;
         }
         Ok(())
     }
--- a/emulator/src/ledger.rs
+++ b/emulator/src/ledger.rs
@@ -106,9 +106,19 @@
 #[derive(Debug)]
 struct Attempt {
     exchange: u32,
+    route: Route,
     end: Option<(Instant, AttemptEnd)>,
 }
 
+/// A connection to an exchange: its place, and the connection's number there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Route {
+    /// Place of the exchange.
+    pub place: u32,
+    /// Number of the connection.
+    pub connection: u64,
+}
+
 /// How a call that stood came to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Over {
@@ -134,6 +144,8 @@
     descriptions: Vec<String>,
     over: Option<(Instant, Over)>,
     released: bool,
+    /// Only the process that set it up knows of it any more.
+    is_forgotten: bool,
     excused: bool,
 }
 
@@ -258,6 +270,7 @@
             descriptions: Vec::new(),
             over: None,
             released: false,
+            is_forgotten: false,
             excused: false,
         };
         self.calls.insert(id, call);
@@ -362,11 +375,11 @@
     // ---- exchanges --------------------------------------------------------------------------------
 
     /// A whole set-up has come from the router; `begun` is the time of its first byte.
-    pub fn on_attempt(&mut self, exchange: u32, place: u32, begun: Instant, sent: &Request, class: &str) {
+    pub fn on_attempt(&mut self, exchange: u32, route: Route, begun: Instant, sent: &Request, class: &str) {
         self.counts.attempts += 1;
         let now = Instant::now();
         let id = sent.call.clone();
-        if place == self.terms.own_place {
+        if route.place == self.terms.own_place {
             self.violate(Rule::Content, format!("{id}: sent to the router's own exchange"));
         }
         if let Some(told) =
@@ -411,7 +424,7 @@
         }
         faults.into_iter().for_each(|(rule, text)| self.violate(rule, text));
         if let Some(call) = self.calls.get_mut(&id) {
-            call.attempts.push(Attempt { exchange, end: None });
+            call.attempts.push(Attempt { exchange, route, end: None });
         }
     }
 
@@ -438,6 +451,15 @@
         }
     }
 
+    /// A connection to an exchange has ended, and with it the attempts that were out on it.
+    pub fn on_route_ended(&mut self, route: Route) {
+        let now = Instant::now();
+        let attempts = self.calls.values_mut().flat_map(|c| c.attempts.iter_mut());
+        for attempt in attempts.filter(|a| a.route == route && a.end.is_none()) {
+            attempt.end = Some((now, AttemptEnd::Reset));
+        }
+    }
+
     /// An exchange gives a description for a call.
     pub fn on_description(&mut self, id: &str, description: &str) {
         if let Some(call) = self.calls.get_mut(id) {
@@ -453,20 +475,15 @@
         }
     }
 
-    /// An exchange died with a call that stood there. Nobody else knows of it if the process that set it up has
-    /// ended as well.
-    pub fn on_call_cut(&mut self, id: &str) {
-        let Some(call) = self.calls.get_mut(id) else { return };
-        if call.life == self.life && !self.lives_ended.contains_key(&call.life) {
-            call.over.get_or_insert((Instant::now(), Over::Unconfirmed));
-        }
-    }
-
-    /// An exchange died before a release of it was confirmed. Nobody else knows of the call if the process that
-    /// set it up has ended as well.
-    pub fn on_release_forgotten(&mut self, id: &str) {
+    /// An exchange died for good with a call that stood there, or whose release it could not send. Nobody else
+    /// knows of it if the process that set it up has ended as well.
+    pub fn on_call_forgotten(&mut self, id: &str) {
+        let now = Instant::now();
         let Some(call) = self.calls.get_mut(id) else { return };
-        call.released |= call.life != self.life || self.lives_ended.contains_key(&call.life);
+        let is_alive = call.life == self.life && !self.lives_ended.contains_key(&call.life);
+        call.over.get_or_insert((now, Over::Unconfirmed));
+        call.is_forgotten = true;
+        call.released |= !is_alive;
     }
 
     /// The router confirms a release.
@@ -507,10 +524,13 @@
     /// The process has ended; so have the attempts that were out.
     pub fn on_process_ended(&mut self) {
         self.lives_ended.insert(self.life, Instant::now());
+        let now = Instant::now();
         for call in self.calls.values_mut() {
             for attempt in call.attempts.iter_mut().filter(|a| a.end.is_none()) {
-                attempt.end = Some((Instant::now(), AttemptEnd::Reset));
+                attempt.end = Some((now, AttemptEnd::Reset));
             }
+            let is_due = call.over.is_some_and(|(at, _)| now >= at + UNSENT_RELEASE_DUE);
+            call.released |= call.is_forgotten && !is_due;
         }
     }
 
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -183,7 +183,7 @@
             Step::Replace { drain_for, gone_for, new_id, .. } => {
                 self.publish(&exchange, State::Draining, 0);
                 sleep(drain_for).await;
-                exchange.die();
+                exchange.die(false);
                 self.publish(&exchange, State::Gone, 0);
                 sleep(gone_for).await;
                 let born = exchange.revive(new_id);
