End connections to a removed exchange before another one at its address is dialled

Exchanges saw: a fifth connection from the router, one over the protocol's four. A whole list also dropped queued releases of exchanges that it listed again. Change: such connections end as soon as no set-up is open on them, and all of them once the address is taken.

--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -224,16 +224,15 @@
         }
     }
 
-    /// Closes connections that are of no more use: cut short in the middle of a line, silent while others
-    /// are told news, or to an exchange that left the list long ago.
-    ///
-    /// Guards against answers and releases that wait for ever behind one that broke off or never came, and
-    /// against connections to machines that vanished: nothing else ever ends those.
+    /// Closes connections that are of no more use: cut short in the middle of a line, silent while others are told
+    /// news, or to an exchange that has left the membership. On the last, set-ups that are open are awaited for a
+    /// while.
     pub fn sweep(&self, now: Duration) {
-        let left = !self.listed && now >= self.left + REMOVED_LINGER;
         let over = |since: Option<Duration>, limit| since.is_some_and(|since| now >= since + limit);
+        let is_removed =
+            |c: &Conn| !self.listed && (c.set_ups.is_empty() || now >= self.left + REMOVED_LINGER);
         for conn in &self.conns {
-            if left {
+            if is_removed(conn) {
                 conn.writes.close(CloseReason::Removed);
             } else if over(conn.partial_line_since, PARTIAL_LINE_TIMEOUT) {
                 conn.writes.close(CloseReason::MessageTimeout);
@@ -243,6 +242,11 @@
         }
     }
 
+    /// Its address belongs to another exchange by now: the process that the connections led to has gone.
+    pub fn give_up_address(&self) {
+        self.conns.iter().for_each(|c| c.writes.close(CloseReason::Removed));
+    }
+
     /// Closes all connections once what is queued has been written.
     pub fn close(&self) {
         self.conns.iter().for_each(|c| c.writes.close(CloseReason::Shutdown));
@@ -266,6 +270,9 @@
             set_ups.extend(call);
         }
         let quiet_since = (!set_ups.is_empty()).then_some(now);
+        if !self.listed && set_ups.is_empty() {
+            writes.close(CloseReason::Removed);
+        }
         self.conns.push(Conn {
             id,
             writes,
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -270,7 +270,9 @@
         let now = self.clock.now();
         let lines = &update.lines;
         if kind != ListKind::Changes {
-            self.pools.values_mut().for_each(|l| l.set_listed(now, false));
+            let is_listed = |id: &ExchangeId| lines.iter().any(|l| l.entry.exchange == *id);
+            let missing = self.pools.iter_mut().filter(|(id, _)| !is_listed(id));
+            missing.for_each(|(_, pool)| pool.set_listed(now, false));
         }
         let before: BTreeMap<ExchangeId, Option<Duration>> =
             self.core.exchanges.lines().map(|e| (e.exchange.clone(), e.up_since)).collect();
@@ -286,6 +288,10 @@
             info!(self.log, "exchange listed"; "exchange_id" => &*id.0, "place" => entry.place.0,
                 "health" => ?entry.health, "up_since" => ?entry.up_since, "event" => self.last_event);
         }
+        for Listed { address, .. } in lines.iter().filter(|l| l.entry.health != Health::Gone) {
+            let former = self.pools.values().filter(|p| !p.is_listed() && p.address == *address);
+            former.for_each(ExchangePool::give_up_address);
+        }
         self.pools.retain(|_, l| !l.is_spent());
         let entries = lines.iter().map(|l| l.entry.clone()).collect();
         self.core.directory(now, kind, entries);
--- a/tests/exchange_pool.rs
+++ b/tests/exchange_pool.rs
@@ -99,3 +99,24 @@
     }
     assert!(!pool.make_room() && pool.open() == 4);
 }
+
+fn buffer() -> Rc<WriteBuffer> {
+    Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000)))
+}
+
+/// Connections to an exchange that had been removed counted against the four of the one that took its address.
+#[test]
+fn connections_to_a_removed_exchange_end_once_no_set_up_is_open_or_its_address_is_taken() {
+    let (idle, busy, late) = (buffer(), buffer(), buffer());
+    let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
+    pool.connected(ms(1000), ConnId(1), idle.clone());
+    pool.connected(ms(1010), ConnId(2), busy.clone());
+    pool.start(ms(1020), &CallId("a".into()), b"set-up".to_vec());
+    pool.set_listed(ms(1100), false);
+    pool.sweep(ms(1150));
+    assert!(!idle.is_open() && busy.is_open(), "the open set-up is awaited");
+    pool.connected(ms(1200), ConnId(3), late.clone());
+    assert!(!late.is_open(), "a connect that was under way");
+    pool.give_up_address();
+    assert!(!busy.is_open());
+}
