Don't take an exchange connection for stalled while bytes arrive on it

Callers saw: set-ups reset and sent again 500 ms later, or failed where a class may not be repeated, though their exchange was well. Change: bytes that arrive, whole lines or not, end the doubt; a line never completed still ends the connection. Result: a_connection_on_which_news_arrives_in_pieces_is_not_stalled failed before and passes.

--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -221,6 +221,8 @@
     pub fn on_read(&mut self, now: Duration, id: ConnId, is_partial: bool) {
         if let Some(conn) = self.conns.iter_mut().find(|c| c.id == id) {
             conn.partial_line_since = is_partial.then(|| conn.partial_line_since.unwrap_or(now));
+            // What is told may arrive in pieces: it is on its way.
+            conn.stalled_since = None;
         }
     }
 
--- a/tests/exchange_pool.rs
+++ b/tests/exchange_pool.rs
@@ -120,3 +120,21 @@
     pool.give_up_address();
     assert!(!busy.is_open());
 }
+
+/// A connection whose news came in pieces was taken for stalled, and its set-ups were reset.
+#[test]
+fn a_connection_on_which_news_arrives_in_pieces_is_not_stalled() {
+    let (whole, pieces) = (buffer(), buffer());
+    let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
+    pool.connected(ms(1000), ConnId(1), whole);
+    pool.connected(ms(1000), ConnId(2), pieces.clone());
+    for at in [1010, 2000] {
+        pool.on_line(ms(at), ConnId(1), None);
+        pool.on_group_state(ms(at), ConnId(1));
+    }
+    for at in [2040, 2080, 2120] {
+        pool.on_read(ms(at), ConnId(2), true);
+        pool.sweep(ms(at + 20));
+    }
+    assert!(pieces.is_open());
+}
