--- a/emulator/src/bin/soak.rs
+++ b/emulator/src/bin/soak.rs
@@ -86,7 +86,7 @@
 fn print(report: &Report, timeline: bool) {
     let (counts, broken) = (&report.counts, report.violations.len());
     let mut text = format!(
-        "seed {}: {broken} broken, {} requests, answers {:?}, {} attempts, {} releases, {} resent, {} excused, \
+        "seed {}: {broken} broken, {} requests, answers {:?}, {} attempts, {} releases, {} resent, {} late, {} excused, \
          peak {} MB {} descriptors\n",
         report.seed,
         counts.requests,
@@ -94,6 +94,7 @@
         counts.attempts,
         counts.releases,
         counts.resent,
+        counts.late,
         counts.excused,
         report.peak.0,
         report.peak.1
--- a/emulator/src/client.rs
+++ b/emulator/src/client.rs
@@ -33,6 +33,8 @@
     Message(Vec<u8>),
     /// The client closes the connection.
     Close,
+    /// The client resets the connection.
+    Reset,
 }
 
 /// How fast a message is written.
@@ -152,6 +154,10 @@
                     written
                 }
                 Out::Close => return true,
+                Out::Reset => {
+                    let _ = writer.as_ref().set_zero_linger();
+                    return true;
+                }
             };
             if written.is_err() {
                 // What the router has said before its end is still read.
@@ -173,16 +179,21 @@
 
     /// Some clients give up early: they withdraw the request, or close the connection.
     fn plan_patience(&self, request: &Request, number: u64) {
-        let (gives_up, closes, after) = {
+        let (gives_up, closes, resets, after) = {
             let mut rng = self.rng.borrow_mut();
-            (rng.f64() < self.scenario.impatient, rng.u8(..4) == 0, request.wait.mul_f64(rng.f64()))
+            (
+                rng.f64() < self.scenario.impatient,
+                rng.u8(..4) == 0,
+                rng.bool(),
+                request.wait.mul_f64(rng.f64()),
+            )
         };
         let Some(me) = self.this().filter(|_| gives_up) else { return };
         let call = request.call.clone();
         tokio::task::spawn_local(async move {
             sleep(after).await;
             if closes {
-                me.send(number, Out::Close);
+                me.send(number, if resets { Out::Reset } else { Out::Close });
                 return;
             }
             me.ledger.borrow_mut().on_withdrawn(&call);
--- a/emulator/src/exchange.rs
+++ b/emulator/src/exchange.rs
@@ -72,6 +72,7 @@
     is_hung: Cell<bool>,
     is_cut: Cell<bool>,
     holds_connects: Cell<bool>,
+    closes_early: Cell<bool>,
     /// A fault is under way; another one is passed over.
     pub is_busy: Cell<bool>,
     mended: Notify,
@@ -117,6 +118,7 @@
             is_hung: Cell::new(false),
             is_cut: Cell::new(false),
             holds_connects: Cell::new(false),
+            closes_early: Cell::new(false),
             is_busy: Cell::new(false),
             mended: Notify::new(),
             resets: watch::Sender::new(0),
@@ -172,6 +174,13 @@
         self.holds_connects.set(false);
     }
 
+    /// Connections are closed soon after they come up for a while.
+    pub async fn close_early(&self, length: Duration) {
+        self.closes_early.set(true);
+        sleep(length).await;
+        self.closes_early.set(false);
+    }
+
     /// Resets all connections.
     pub fn reset_connections(&self) {
         self.resets.send_modify(|n| *n += 1);
@@ -256,6 +265,14 @@
             let _ = sender.send(Out::Line(release_line(call), Told::Nothing));
         }
         self.connections.borrow_mut().insert(number, sender);
+        if self.closes_early.get() {
+            let me = self.clone();
+            let life = Duration::from_millis(self.rng.borrow_mut().u64(0..120));
+            tokio::task::spawn_local(async move {
+                sleep(life).await;
+                me.send(number, Out::Close);
+            });
+        }
         tokio::task::spawn_local(self.clone().check_connections());
         tokio::task::spawn_local(self.run(stream, number, receiver));
     }
--- a/emulator/src/ledger.rs
+++ b/emulator/src/ledger.rs
@@ -184,6 +184,8 @@
     pub releases: u64,
     /// Requests that crossed a close and were sent again.
     pub resent: u64,
+    /// Answers that came after their client's time, though within the half second that only costs worth.
+    pub late: u64,
     /// Requests excused, since the process was killed outright or a client left.
     pub excused: u64,
 }
@@ -317,6 +319,9 @@
         if matches!(status, 480 | 503) && hold_off.is_none() && self.terms.hold_off {
             self.violate(Rule::HoldOff, format!("{id}: {status} without X-Hold-Off"));
         }
+        if !withdrawn && now > sent + wait + SLACK {
+            self.counts.late += 1;
+        }
         if !withdrawn && now > sent + wait + LATE_ANSWER + SLACK {
             let late = now - sent - wait;
             self.violate(Rule::LostRequest, format!("{id}: answered {status}, {late:?} after its time"));
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -162,6 +162,7 @@
         | Step::Vanish(place, _)
         | Step::Cut(place, _)
         | Step::LateConnects(place, _)
+        | Step::EarlyCloses(place, _)
         | Step::ResetConnections(place)
         | Step::Replace { place, .. }) = step
         else {
@@ -175,6 +176,7 @@
             Step::Hang(_, length) => exchange.hang(length).await,
             Step::Cut(_, length) => exchange.cut(length).await,
             Step::LateConnects(_, length) => exchange.delay_connects(length).await,
+            Step::EarlyCloses(_, length) => exchange.close_early(length).await,
             Step::ResetConnections(_) => exchange.reset_connections(),
             Step::Vanish(_, length) => {
                 let born = exchange.vanish(length).await;
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -62,6 +62,8 @@
     Cut(u32, Duration),
     /// New connections to it come up late.
     LateConnects(u32, Duration),
+    /// New connections to it are closed soon after they come up, and idle ones now and then.
+    EarlyCloses(u32, Duration),
     /// All connections to it are reset.
     ResetConnections(u32),
     /// It drains, goes and comes back.
@@ -146,7 +148,7 @@
             seed,
             terms,
             exchanges: rng.u32(4..=6),
-            rate: rng.f64() * 60.0 + 20.0,
+            rate: if rng.u8(..4) == 0 { 180.0 } else { 20.0 + 60.0 * rng.f64() },
             connections: rng.u32(2..=6),
             sockets: 512,
             spoilt: if rng.bool() { 0.06 } else { 0.0 },
@@ -195,7 +197,8 @@
     fn exchange_fault(&self, rng: &mut Rng) -> Step {
         let place = rng.u32(1..self.exchanges);
         let length = between(rng, 300, 4000);
-        match rng.u8(..9) {
+        match rng.u8(..10) {
+            9 => Step::EarlyCloses(place, length),
             0 | 1 => Step::Hang(place, length),
             2 => Step::Vanish(place, length),
             3 => Step::Cut(place, length),
