--- a/emulator/src/exchange.rs
+++ b/emulator/src/exchange.rs
@@ -239,7 +239,7 @@
                 self.fill_backlog(&mut fillers).await;
             } else if let Ok(Ok((stream, peer))) = tokio::time::timeout(POLL, open.accept()).await {
                 let is_filler = fillers.iter().any(|f| f.local_addr().is_ok_and(|a| a == peer));
-                if !is_filler {
+                if !is_filler && !self.is_dead.get() {
                     self.clone().admit(stream);
                 }
             } else {
