Take back set-ups that wait for a connection when their exchange's drain is told

Exchanges saw: a set-up 802 ms after their drain was told, 500 ms being allowed. Cause: a set-up that finds no connection waits in the pool's queue and goes out when one comes up (net/exchange_pool.rs, start and connected); with a connect timeout of over 500 ms that can be long after a drain was told in between. Change: when an exchange drains or is gone, its queued set-ups are taken back as never sent, and routed anew.

--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -244,6 +244,13 @@
         }
     }
 
+    /// Takes back the set-ups that wait for a connection: they never left.
+    pub fn take_queued(&mut self) -> Vec<CallId> {
+        let set_ups = self.queue.iter().filter_map(|(call, _)| call.clone()).collect();
+        self.queue.retain(|(call, _)| call.is_none());
+        set_ups
+    }
+
     /// Its address belongs to another exchange by now: the process that the connections led to has gone.
     pub fn give_up_address(&self) {
         self.conns.iter().for_each(|c| c.writes.close(CloseReason::Removed));
@@ -294,8 +301,7 @@
         self.silent |= failure == Failure::Silent;
         self.next_try = now + self.pause;
         self.pause = (self.pause * 2).min(CONNECT_BACKOFF.1);
-        let set_ups = self.queue.iter().filter_map(|(call, _)| call.clone()).collect();
-        self.queue.retain(|(call, _)| call.is_none());
+        let set_ups = self.take_queued();
         let ended = failure == Failure::Refused && std::mem::take(&mut self.dropped);
         if ended {
             self.queue.clear(); // what was to be released there has gone with its process
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -295,9 +295,21 @@
         self.pools.retain(|_, l| !l.is_spent());
         let entries = lines.iter().map(|l| l.entry.clone()).collect();
         self.core.directory(now, kind, entries);
+        self.withdraw_queued(lines);
         self.flush();
     }
 
+    /// Set-ups that wait for a connection to an exchange that takes no new ones never left, and go elsewhere: the
+    /// connection may come up long after the exchange's drain was told.
+    fn withdraw_queued(&mut self, lines: &[Listed]) {
+        for Listed { entry, .. } in lines.iter().filter(|l| l.entry.health != Health::Live) {
+            let queued = self.pools.get_mut(&entry.exchange).map(ExchangePool::take_queued);
+            for call in queued.unwrap_or_default() {
+                self.on_connection_reset(&entry.exchange, &call, false);
+            }
+        }
+    }
+
     pub(in crate::net) fn coordinator_frame(&mut self, frame: coordinator::Frame) {
         let Some(list) = frame.list.filter(|_| frame.number > self.last_event) else { return };
         self.last_event = frame.number;
--- a/tests/exchange_pool.rs
+++ b/tests/exchange_pool.rs
@@ -138,3 +138,13 @@
     }
     assert!(pieces.is_open());
 }
+
+/// Set-ups that waited for a connection went out when it came up, long after their exchange's drain was told.
+#[test]
+fn set_ups_that_wait_for_a_connection_are_taken_back_and_releases_stay() {
+    let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
+    pool.start(ms(1000), &CallId("a".into()), b"set-up".to_vec());
+    pool.finish(ms(1000), &CallId("b".into()), b"release".to_vec());
+    assert_eq!(pool.take_queued(), [CallId("a".into())]);
+    assert!(pool.take_queued().is_empty() && !pool.is_spent(), "the release still waits");
+}
