--- a/emulator/src/exchange.rs
+++ b/emulator/src/exchange.rs
@@ -238,8 +238,12 @@
             } else if held {
                 self.fill_backlog(&mut fillers).await;
             } else if let Ok(Ok((stream, peer))) = tokio::time::timeout(POLL, open.accept()).await {
+                // Whatever got into the backlog while it was held has waited there unseen.
+                let has_waited = !fillers.is_empty();
                 let is_filler = fillers.iter().any(|f| f.local_addr().is_ok_and(|a| a == peer));
-                if !is_filler && !self.is_dead.get() {
+                if has_waited && !is_filler {
+                    let _ = stream.set_zero_linger();
+                } else if !is_filler && !self.is_dead.get() {
                     self.clone().admit(stream);
                 }
             } else {
--- a/emulator/src/router.rs
+++ b/emulator/src/router.rs
@@ -91,7 +91,7 @@
                 "Contract": {"DrainGraceNs": nanos(terms.drain_grace), "ColdFrom": 0.28,
                     "ColdNs": 14_000_000_000_u64, "FallMultiple": 2.0, "FallNs": 1_000_000_000},
                 "PolicyLimits": {"MaxAttempts": 5, "Cancelling": true, "RetryAfter": terms.hold_off,
-                    "MaxRetryAfterNs": 2_000_000_000, "ConnectTimeoutNs": 500_000_000}}});
+                    "MaxRetryAfterNs": 2_000_000_000, "ConnectTimeoutNs": nanos(scenario.connect_timeout)}}});
         Self { path, value }
     }
 
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -169,15 +169,16 @@
             return;
         };
         let exchange = self.exchanges[place as usize].clone();
-        if exchange.is_busy.replace(true) {
-            return;
+        match step {
+            Step::LateConnects(_, length) => return exchange.delay_connects(length).await,
+            Step::ResetConnections(_) => return exchange.reset_connections(),
+            _ if exchange.is_busy.replace(true) => return,
+            _ => {}
         }
         match step {
             Step::Hang(_, length) => exchange.hang(length).await,
             Step::Cut(_, length) => exchange.cut(length).await,
-            Step::LateConnects(_, length) => exchange.delay_connects(length).await,
             Step::EarlyCloses(_, length) => exchange.close_early(length).await,
-            Step::ResetConnections(_) => exchange.reset_connections(),
             Step::Vanish(_, length) => {
                 let born = exchange.vanish(length).await;
                 self.publish(&exchange, State::Ready, born);
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -100,6 +100,8 @@
     pub rate: f64,
     /// Client connections that are kept open.
     pub connections: u32,
+    /// A connection to an exchange must be up within this.
+    pub connect_timeout: Duration,
     /// Descriptors that the router may hold.
     pub sockets: u32,
     /// Share of answers that arrive spoilt, doubled, late or never.
@@ -150,6 +152,7 @@
             exchanges: rng.u32(4..=6),
             rate: if rng.u8(..4) == 0 { 180.0 } else { 20.0 + 60.0 * rng.f64() },
             connections: rng.u32(2..=6),
+            connect_timeout: between(&mut rng, 400, 2500),
             sockets: 512,
             spoilt: if rng.bool() { 0.06 } else { 0.0 },
             pieces: rng.bool(),
@@ -219,6 +222,14 @@
             let fault = self.exchange_fault(rng);
             self.add(at, fault);
         }
+        if rng.bool() {
+            // A drain while connections are reset and come up late.
+            let (place, at) = (rng.u32(1..self.exchanges), between(rng, 300, self.active.as_millis() as u64));
+            self.add(at, Step::LateConnects(place, between(rng, 800, 2500)));
+            self.add(at + between(rng, 0, 50), Step::ResetConnections(place));
+            let (drain_for, gone_for) = (between(rng, 1500, 3000), between(rng, 300, 1500));
+            self.add(at + between(rng, 50, 600), Step::Replace { place, drain_for, gone_for, new_id: false });
+        }
         for _ in 0..rng.u32(0..=2) {
             let (at, count) = (between(rng, 1200, self.active.as_millis() as u64), rng.u32(1..=4));
             self.add(at, Step::Reload { count, gap: between(rng, 5, 400) });
