--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,31 +1,23 @@
 //! Every decision of a call controller: acceptance, route, further attempts, answers.
 //!
-//! Types, settings, events and actions stand in `src/interface.rs`. Read from the top: constants, the
-//! paper's control of one processor, what is known of the exchanges, then the path of one call.
-//! Symbols A, X, T, θ, λs, C, B, γ are those of the Proteo paper (sections 4, 10 and 11).
+//! Types, settings, events and actions stand in `src/interface.rs`. Read from the top: constants, what is
+//! known of the exchanges, then the path of one call. `control` limits what is accepted, `window` what is out
+//! towards one processor, and [`shutdown`] says when a stopping router does what.
 
+mod control;
 pub mod shutdown;
+mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use control::Control;
+use control::{CYCLE, FLOOR, PERIOD, THETA};
+use window::{Window, EASY, FAILED, PRESSED, WINDOW};
+
 use crate::interface::*;
 
-/// T: length of a control cycle, s (paper, 6).
-const CYCLE: f64 = 0.5;
-/// θ: smoothing of the offered rate (paper, 11).
-const THETA: f64 = 0.2;
-/// γ: work of a refusal against that of a call (paper, 4).
-const GAMMA: f64 = 0.16;
-/// Length of a learning period of λs, s (paper, 11: 15 to 30).
-const PERIOD: f64 = 15.0;
-/// Least λs, calls a second: below it too few calls pass to learn from.
-const FLOOR: f64 = 3.0;
-/// Acceptance limit at normal load, in λs (design page).
-const NORMAL: f64 = 1.2;
-/// End of the transition region, in λs, and the raised limit within it (paper, fig. 8).
-const TRANSITION: f64 = 1.1;
 /// Part of the cold budget used: the rest is slack for repeats and for what is in flight.
 const COLD_MARGIN: f64 = 0.9;
 /// What a warm processor can take from a sender, in what it was sent: it sets up its own calls as well.
@@ -34,21 +26,12 @@
 const RESERVE_BASE: f64 = 1.0;
 const RESERVE_GAIN: f64 = 10.0;
 const BLOCKING_STEP: f64 = 0.1;
-/// Set-ups out toward one processor: first allowance, least and most.
-/// (Below one: after each answer the next set-up waits, so that the mean is kept.)
-const WINDOW: (f64, f64, f64) = (4.0, 0.1, 40.0);
-/// A set-up that stands within this part of its aim lets the window grow; beyond the second it shrinks.
-const EASY: f64 = 0.2;
-const PRESSED: f64 = 0.4;
 /// A spell, in aims, and the longest, s: for silence, for failures and before what is full is tried again.
 ///
 /// Guards against a processor that is back but left alone for several aims, as its next trial is not due.
 const SPELL: (f64, f64) = (0.25, 0.5);
 /// Longest gap between trials of a processor whose window is shut, in spells.
 const TRIAL: f64 = 6.0;
-/// Shrinking of a window on a slow answer, and on a failure or silence.
-const SLOWER: f64 = 0.7;
-const FAILED: f64 = 0.5;
 /// After a crank-back (one for those of a moment) a tandem is left out there: first and longest, in spells.
 const CRANKED: (f64, f64) = (6.0, 48.0);
 /// A set-up out for so many usual set-up times is taken for lost; above a share of such, they are called off.
@@ -65,8 +48,6 @@
 /// Smoothing per answer, of one place and over all places: of set-up times, and of losses.
 const SETUP_STEP: (f64, f64) = (0.3, 0.05);
 const LOST_STEP: (f64, f64) = (0.1, 0.05);
-/// A call that can only stand late goes while a window is used to this part at most.
-const LATE_ROOM: f64 = 0.3;
 /// Tandems tried for one call.
 const TANDEMS: usize = 2;
 /// Log lines for the operators at most, over a controller's life.
@@ -74,67 +55,6 @@
 
 const CYCLE_TOKEN: Token = Token(0);
 
-/// The paper's control of one processor: counts what is offered, sets the next cycle's limit.
-#[derive(Debug, Default)]
-pub struct Control {
-    /// Set-ups offered in this cycle, refused ones included.
-    pub offered: f64,
-    /// Set-ups accepted in this cycle.
-    pub accepted: f64,
-    /// X: smoothed offered rate.
-    pub x: f64,
-    /// λs, unset until delays have exceeded the aim.
-    pub safe: Option<f64>,
-    /// CAL: accepted set-ups allowed in this cycle; none while λs is unset.
-    pub limit: Option<f64>,
-    /// In this period: set-ups that stood within the aim, all that ended, their delays in aims.
-    within: f64,
-    ended: f64,
-    delays: f64,
-}
-
-impl Control {
-    /// Ends a cycle: X from A, and CAL from the control function (paper, 10 and 11).
-    pub fn end_cycle(&mut self) {
-        self.x = THETA * self.offered / CYCLE + (1.0 - THETA) * self.x;
-        (self.offered, self.accepted) = (0.0, 0.0);
-        self.limit = self.safe.map(|safe| CYCLE * Self::function(self.x, safe));
-    }
-
-    /// Accepted rate for the offered rate X: constant, raised near λs, then the falling line.
-    pub fn function(x: f64, safe: f64) -> f64 {
-        if x <= safe {
-            NORMAL * safe
-        } else if x <= TRANSITION * safe {
-            TRANSITION * safe
-        } else {
-            ((safe - GAMMA * x) / (1.0 - GAMMA)).max(0.0)
-        }
-    }
-
-    /// Notes how long a set-up took, or how long it was waited for, in aims.
-    pub fn note(&mut self, delay_in_aims: f64) {
-        self.ended += 1.0;
-        self.delays += delay_in_aims;
-        self.within += f64::from(u8::from(delay_in_aims <= 1.0));
-    }
-
-    /// Ends a learning period: λs down to 0.9 of what stood in time, or up a tenth.
-    pub fn end_period(&mut self) {
-        let delay = if self.ended > 0.0 { self.delays / self.ended } else { 0.0 };
-        if delay > 1.0 {
-            self.safe = Some((0.9 * self.within / PERIOD).max(FLOOR));
-        } else if delay < 0.5 {
-            self.safe = self.safe.map(|safe| safe * 1.1);
-        }
-        (self.within, self.ended, self.delays) = (0.0, 0.0, 0.0);
-    }
-
-    fn has_room(&self) -> bool {
-        self.limit.is_none_or(|limit| self.accepted + 1.0 <= limit.max(1.0))
-    }
-}
-
 /// A machine of the directory.
 #[derive(Debug)]
 struct Machine {
@@ -146,54 +66,6 @@
     cold_sends: Vec<f64>,
 }
 
-/// How many set-ups may be unanswered at once: what a processor sets up well within the aim.
-///
-/// Guards against a processor that is slow, stalled, silent, cold or full, whatever the cause: its
-/// answers come late or not at all, so its window closes within a few set-ups and the rest are held.
-/// Harm: a loss of signalling that is not the processor's closes it too, for as long as it lasts.
-#[derive(Debug)]
-struct Window {
-    size: f64,
-    out: f64,
-    /// Shrinks once for each spell, not for each of the answers that tell of it.
-    shrunk_at: f64,
-    /// With a window under one: not before this.
-    open_at: f64,
-}
-
-impl Default for Window {
-    fn default() -> Self {
-        Self { size: WINDOW.0, out: 0.0, shrunk_at: 0.0, open_at: 0.0 }
-    }
-}
-
-impl Window {
-    fn is_open(&self, now: f64, late: bool) -> bool {
-        let room = if late { LATE_ROOM * self.size } else { self.size.max(1.0) };
-        self.out + 1.0 <= room && (self.size >= 1.0 || now >= self.open_at)
-    }
-
-    fn answered(&mut self, took: f64, now: f64, trial: f64) {
-        self.out = (self.out - 1.0).max(0.0);
-        self.open_at = now + (took * (1.0 / self.size - 1.0)).clamp(0.0, trial);
-    }
-
-    fn stood(&mut self, delay: f64, now: f64, spell: f64) {
-        if delay > PRESSED {
-            self.shrink(SLOWER, now, spell);
-        } else if delay < EASY && self.out * 2.0 >= self.size {
-            self.size = (self.size + 1.0 / self.size.max(1.0)).min(WINDOW.2);
-        }
-    }
-
-    fn shrink(&mut self, to: f64, now: f64, spell: f64) {
-        if now >= self.shrunk_at + spell {
-            self.size = (self.size * to).max(WINDOW.1);
-            self.shrunk_at = now;
-        }
-    }
-}
-
 /// What is known of an exchange or pool.
 #[derive(Debug, Default)]
 struct Far {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -127,10 +127,15 @@
 }
 
 #[test]
-fn the_policy_file_keeps_its_width_and_the_deploy_file_names_what_exists() {
+fn the_policy_files_keep_their_width_and_the_deploy_file_names_them_all() {
     let root = env!("CARGO_MANIFEST_DIR");
-    let policy = std::fs::read_to_string(format!("{root}/src/policy/mod.rs")).unwrap();
-    assert!(policy.lines().all(|l| l.chars().count() <= 110));
     let deploy = std::fs::read_to_string(format!("{root}/deploy/balancer.toml")).unwrap();
-    assert!(deploy.contains("src/policy/mod.rs") && deploy.contains("target/release/quartzspindle-adapter"));
+    for file in std::fs::read_dir(format!("{root}/src/policy")).unwrap() {
+        let path = file.unwrap().path();
+        let name = path.file_name().unwrap().to_str().unwrap().to_owned();
+        let policy = std::fs::read_to_string(&path).unwrap();
+        assert!(policy.lines().all(|l| l.chars().count() <= 110), "{name}");
+        assert!(deploy.contains(&format!("src/policy/{name}")), "{name} is not listed");
+    }
+    assert!(deploy.contains("target/release/quartzspindle-adapter"));
 }
