Repeat an unconfirmed release for 4.5 s instead of 0.9 s

Callers saw: a call that was over stayed standing for them when only clients that never send a message were connected for the first second, as after a restart among a crowd. Cause: an unconfirmed release was sent four times, 300 ms apart, then dropped (net/platform/releases.rs); it is due until 8 s after the call's end where no client could be told. Change: five times, each wait twice the last, so the last comes 4.5 s after the first. Result: a_release_that_only_silent_clients_were_sent_reaches_the_client_that_comes_later failed before and passes.

--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -40,11 +40,11 @@
 const MAX_WAITING_RELEASES: usize = 8192;
 /// Share of the descriptors for connections of callers; they hold a third at most by themselves.
 const CLIENT_CONNECTIONS_SHARE: f64 = 0.6;
-/// A release that is not heard of for so long is sent again over another connection, so often at most:
-/// hearing it is free, so one that is never heard of may have arrived all the same.
-///
-/// Guards against releases that went to a caller that does not follow the protocol, or crossed a close.
-const RELEASE_RETRY: (Duration, u32) = (Duration::from_millis(300), 4);
+/// A release that no client has confirmed is sent again over another connection after this, and after twice the
+/// time for each repeat. Confirming it is free, so one that is never confirmed may have arrived all the same.
+const RELEASE_RETRY: Duration = Duration::from_millis(300);
+/// A release is sent so often at most; the last time 4.5 s after the first, since it is due within 8 s.
+const MAX_RELEASE_SENDS: u32 = 5;
 /// Set-ups open on one connection at most.
 const MAX_SET_UPS_PER_CONNECTION: usize = 1024;
 /// Circuits that one call may take: more than any bearer service needs (H12, 30 channels).
@@ -78,6 +78,12 @@
     times: u32,
 }
 
+impl Sent {
+    fn retry_at(&self) -> Duration {
+        self.at + RELEASE_RETRY * (1 << (self.times - 1).min(MAX_RELEASE_SENDS))
+    }
+}
+
 /// The front and all that it holds.
 #[derive(Debug)]
 pub struct Platform {
@@ -343,7 +349,7 @@
     }
 
     fn sweep(&mut self, now: Duration) {
-        let unconfirmed = self.releases.iter().filter(|(_, r)| now >= r.at + RELEASE_RETRY.0);
+        let unconfirmed = self.releases.iter().filter(|(_, r)| now >= r.retry_at());
         let unconfirmed: Vec<CallId> = unconfirmed.map(|(id, _)| id.clone()).collect();
         unconfirmed.iter().for_each(|call| self.release_again(call));
         for client in self.clients.sweep(now) {
--- a/src/net/platform/releases.rs
+++ b/src/net/platform/releases.rs
@@ -9,7 +9,7 @@
     }
 
     pub(super) fn release_again(&mut self, call: &CallId) {
-        if let Some(sent) = self.releases.remove(call).filter(|r| r.times < RELEASE_RETRY.1) {
+        if let Some(sent) = self.releases.remove(call).filter(|r| r.times < MAX_RELEASE_SENDS) {
             let other = self.clients.for_release(None, Some(sent.client));
             self.send_release(other, call.clone(), sent.cause, sent.times + 1);
         }
--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -194,3 +194,24 @@
     let confirmed = exchange.heard_within("FINISHED", Duration::from_millis(300));
     assert!(confirmed.is_none(), "confirmed with no client to tell");
 }
+
+/// A release was given up 1.2 s after the call's end, when only clients that never send a message were connected.
+#[test]
+fn a_release_that_only_silent_clients_were_sent_reaches_the_client_that_comes_later() {
+    let exchange = Exchange::start();
+    let router = Router::start(&config(&[exchange.address]));
+    let mut client = router.caller();
+    client.ready();
+    client.invite("0000000000000f00", 1, 3000);
+    let (_, stream, _) = exchange.hear("START");
+    started(&stream, "0000000000000f00");
+    assert!(client.hear().first.contains(" 200 "));
+    let _silent = [router.caller(), router.caller()];
+    drop(client);
+    std::thread::sleep(Duration::from_millis(50));
+    finish(&stream, "0000000000000f00", 16, "");
+    std::thread::sleep(Duration::from_millis(1600));
+    let mut late = router.caller();
+    let released = late.within(Duration::from_millis(6350) + SLACK).expect("a release within 8 s");
+    assert!(released.first.starts_with("BYE ") && released.has("Call-ID: 0000000000000f00"), "{released:?}");
+}
