Write what is queued when a client closes its sending side, as before the rewrite

Cause: the new connection loop returned at the peer's end without writing what was queued; the old one did as far as it went at once. Found by reading. Change: restored, with a test of a request right before the end. It guards the behaviour; no loss was seen.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -278,6 +278,7 @@
                 read = self.reader.read(&mut input), if self.reading => {
                     let n = read?;
                     if n == 0 {
+                        self.write_at_once();
                         return Ok(());
                     }
                     self.hand_over(&input[..n]);
@@ -348,6 +349,17 @@
         self.reading = (self.on_bytes)(bytes).is_continue();
     }
 
+    /// Writes what is queued as far as it goes without waiting: the peer may have closed one direction only.
+    fn write_at_once(&mut self) {
+        self.take_queued();
+        while let (true, Ok(n @ 1..)) =
+            (self.has_output(), self.writer.try_write(&self.output[self.written..]))
+        {
+            self.advance(n);
+            self.take_queued();
+        }
+    }
+
     async fn flush(&mut self) -> io::Result<()> {
         loop {
             self.take_queued();
--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -215,3 +215,18 @@
     let released = late.within(Duration::from_millis(6350) + SLACK).expect("a release within 8 s");
     assert!(released.first.starts_with("BYE ") && released.has("Call-ID: 0000000000000f00"), "{released:?}");
 }
+
+/// An answer that was ready when its client closed its sending side was dropped.
+#[test]
+fn a_request_right_before_the_client_closes_its_sending_side_is_answered() {
+    let exchange = Exchange::start();
+    let router = Router::start(&config(&[exchange.address]));
+    router.caller().ready();
+    for attempt in 0..40 {
+        let mut client = router.caller();
+        client.request("OPTIONS", "0", "", "");
+        client.0.get_ref().shutdown(std::net::Shutdown::Write).unwrap();
+        let answer = client.within(LIMIT);
+        assert!(answer.is_some_and(|a| a.first.contains(" 200 ")), "attempt {attempt}");
+    }
+}
