--- a/tests/lost_requests.rs
+++ b/tests/lost_requests.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
@@ -21,6 +22,19 @@
     answers
 }
 
+/// A call that stands, and the router's connection to its exchange.
+fn one_standing(call: &str) -> (Exchange, Router, Caller, TcpStream) {
+    let exchange = Exchange::start();
+    let router = Router::start(&config(&[exchange.address]));
+    let mut client = router.caller();
+    client.ready();
+    client.invite(call, 1, 3000);
+    let (_, stream, _) = exchange.hear("START");
+    started(&stream, call);
+    assert!(client.hear().first.contains(" 200 "));
+    (exchange, router, client, stream)
+}
+
 /// Incident 93b949: after a restart, set-ups for an exchange that is being replaced closed their client's
 /// connection, and the requests of other calls that were open on it ended without an answer.
 #[test]
@@ -175,14 +189,7 @@
 /// that the call was over, and its exchange held it for told.
 #[test]
 fn a_stopping_router_takes_no_release_that_it_can_tell_no_client() {
-    let exchange = Exchange::start();
-    let router = Router::start(&config(&[exchange.address]));
-    let mut client = router.caller();
-    client.ready();
-    client.invite("0000000000000e00", 1, 3000);
-    let (_, stream, _) = exchange.hear("START");
-    started(&stream, "0000000000000e00");
-    assert!(client.hear().first.contains(" 200 "));
+    let (exchange, router, mut client, stream) = one_standing("0000000000000e00");
     router.signal("-TERM");
     std::thread::sleep(Duration::from_millis(900));
     let mut silent = router.caller();
@@ -198,14 +205,7 @@
 /// A release was given up 1.2 s after the call's end, when only clients that never send a message were connected.
 #[test]
 fn a_release_that_only_silent_clients_were_sent_reaches_the_client_that_comes_later() {
-    let exchange = Exchange::start();
-    let router = Router::start(&config(&[exchange.address]));
-    let mut client = router.caller();
-    client.ready();
-    client.invite("0000000000000f00", 1, 3000);
-    let (_, stream, _) = exchange.hear("START");
-    started(&stream, "0000000000000f00");
-    assert!(client.hear().first.contains(" 200 "));
+    let (_exchange, router, client, stream) = one_standing("0000000000000f00");
     let _silent = [router.caller(), router.caller()];
     drop(client);
     std::thread::sleep(Duration::from_millis(50));
