--- a/emulator/src/coordinator.rs
+++ b/emulator/src/coordinator.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::ledger::Ledger;
+use crate::scenario::{Party, Scenario};
 
 /// An empty frame follows each second.
 const HEARTBEAT: Duration = Duration::from_secs(1);
@@ -68,12 +69,13 @@
     /// Connections of an older generation break.
     generation: watch::Sender<u64>,
     break_amid: Cell<bool>,
+    listen: SocketAddr,
     pieces: bool,
 }
 
 impl Coordinator {
     /// A coordinator that serves.
-    pub fn new(ledger: Rc<RefCell<Ledger>>, pieces: bool) -> Rc<Self> {
+    pub fn new(ledger: Rc<RefCell<Ledger>>, scenario: &Scenario) -> Rc<Self> {
         Rc::new(Self {
             ledger,
             events: RefCell::default(),
@@ -81,7 +83,8 @@
             current: watch::Sender::new(0),
             generation: watch::Sender::new(0),
             break_amid: Cell::new(false),
-            pieces,
+            listen: scenario.address(Party::Coordinator),
+            pieces: scenario.pieces,
         })
     }
 
@@ -90,7 +93,7 @@
     /// # Errors
     /// What the socket reports.
     pub async fn open(self: &Rc<Self>) -> io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind(self.listen).await?;
         let address = listener.local_addr()?;
         self.current.send_modify(|n| *n += 1);
         let number = *self.current.borrow();
--- a/emulator/src/exchange.rs
+++ b/emulator/src/exchange.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::ledger::{AttemptEnd, Ledger, Request, Route, Rule};
-use crate::scenario::Scenario;
+use crate::scenario::{Party, Scenario};
 
 /// The protocol's limit of connections to one exchange.
 const MAX_CONNECTIONS: usize = 4;
@@ -102,7 +102,7 @@
     /// # Errors
     /// What the socket reports.
     pub fn start(ledger: Rc<RefCell<Ledger>>, scenario: Rc<Scenario>, place: u32) -> io::Result<Rc<Self>> {
-        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let listener = listen(scenario.address(Party::Exchanges))?;
         let address = listener.local_addr()?;
         let exchange = Rc::new_cyclic(|me| Self {
             me: me.clone(),
@@ -224,8 +224,10 @@
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut listener = Some(listener);
         let mut fillers: Vec<TcpStream> = Vec::new();
+        let mut was_held = false;
         loop {
             let held = self.is_cut.get() || self.holds_connects.get();
+            was_held |= held;
             let Some(open) = &listener else {
                 if !self.is_dead.get() {
                     listener = listen(self.address).ok();
@@ -239,15 +241,14 @@
                 self.fill_backlog(&mut fillers).await;
             } else if let Ok(Ok((stream, peer))) = tokio::time::timeout(POLL, open.accept()).await {
                 // Whatever got into the backlog while it was held has waited there unseen.
-                let has_waited = !fillers.is_empty();
                 let is_filler = fillers.iter().any(|f| f.local_addr().is_ok_and(|a| a == peer));
-                if has_waited && !is_filler {
+                if was_held && !is_filler {
                     let _ = stream.set_zero_linger();
                 } else if !is_filler && !self.is_dead.get() {
                     self.clone().admit(stream);
                 }
             } else {
-                fillers.clear();
+                (fillers, was_held) = (Vec::new(), false);
             }
         }
     }
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -20,7 +20,7 @@
 use crate::exchange::Exchange;
 use crate::ledger::{Counts, Ledger, Rule, Violation};
 use crate::router::{ConfigFile, Router};
-use crate::scenario::{Scenario, Step};
+use crate::scenario::{Party, Scenario, Step};
 use crate::sip;
 
 /// A start has to lead to a passed test within this.
@@ -77,12 +77,12 @@
     let scenario = Rc::new(scenario);
     let seed = scenario.seed;
     let ledger = Rc::new(RefCell::new(Ledger::new(scenario.terms.clone())));
-    let coordinator = Coordinator::new(ledger.clone(), scenario.pieces);
+    let coordinator = Coordinator::new(ledger.clone(), &scenario);
     let address = coordinator.open().await?;
     let exchanges: Vec<Rc<Exchange>> = (0..scenario.exchanges)
         .map(|place| Exchange::start(ledger.clone(), scenario.clone(), place))
         .collect::<io::Result<_>>()?;
-    let listen = free_address().await?;
+    let listen = free_address(&scenario).await?;
     let mut config = ConfigFile::new(dir.join(format!("soak-{seed}.json")), &scenario, listen);
     config.set("coordinator", json!(address.to_string()));
     let log = dir.join(format!("soak-{seed}.log"));
@@ -110,8 +110,8 @@
     Ok(run.report())
 }
 
-async fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0").await?.local_addr()
+async fn free_address(scenario: &Scenario) -> io::Result<SocketAddr> {
+    TcpListener::bind(scenario.address(Party::Router)).await?.local_addr()
 }
 
 impl Run {
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -1,5 +1,6 @@
 //! What one run plays: settings, traffic and a timeline of faults, all drawn from its seed.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use fastrand::Rng;
@@ -129,7 +130,26 @@
     Duration::from_millis(rng.u64(from_ms..=to_ms))
 }
 
+/// A party of a run that listens. Each run has loopback addresses of its own, so that a port that is given up for
+/// a while is not taken by another run.
+#[derive(Debug, Clone, Copy)]
+pub enum Party {
+    /// The router.
+    Router = 64,
+    /// The exchanges.
+    Exchanges = 65,
+    /// The coordinator.
+    Coordinator = 66,
+}
+
 impl Scenario {
+    /// Where a party listens, at any port.
+    pub fn address(&self, party: Party) -> SocketAddr {
+        let run = (self.seed % 60_000) as u16;
+        let [high, low] = run.to_be_bytes();
+        SocketAddr::from(([127, party as u8, high, low], 0))
+    }
+
     /// Draws a run.
     pub fn draw(seed: u64, active: Duration) -> Self {
         let mut rng = Rng::with_seed(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x5151);
