One flag for a stopped front; ConnectionLimits instead of a second Limits

Cause: is_stopping and is_stopped were always set together, so one could be derived from the other; Limits in net/connection.rs had the name of the settings' Limits. Change: one flag, and a name of its own. No behaviour changes; no test is touched.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -104,7 +104,7 @@
 /// What is to be written on a connection, and whether it is to be closed.
 #[derive(Debug)]
 pub struct WriteBuffer {
-    limits: Limits,
+    limits: ConnectionLimits,
     budget: Rc<WriteBudget>,
     bytes: RefCell<Vec<u8>>,
     /// Bytes queued and not yet handed to the socket.
@@ -117,7 +117,7 @@
 
 /// What a connection may hold and how patiently it ends.
 #[derive(Debug, Clone, Copy)]
-pub struct Limits {
+pub struct ConnectionLimits {
     /// Bytes that may wait for the peer whatever the other connections hold.
     pub fair_share: usize,
     /// Bytes that may wait while the budget of all connections has room.
@@ -129,15 +129,15 @@
     pub linger: Duration,
 }
 
-/// Limits of a client's connection.
-pub const CLIENT_LIMITS: Limits = Limits {
+/// ConnectionLimits of a client's connection.
+pub const CLIENT_LIMITS: ConnectionLimits = ConnectionLimits {
     fair_share: 48 * 1024,
     most: 1024 * 1024,
     flush_timeout: Duration::from_millis(500),
     linger: Duration::from_millis(100),
 };
-/// Limits of a connection to an exchange or to the coordinator: its end is news, so it isn't waited for.
-pub const SERVER_LIMITS: Limits = Limits {
+/// ConnectionLimits of a connection to an exchange or to the coordinator: its end is news, so it isn't waited for.
+pub const SERVER_LIMITS: ConnectionLimits = ConnectionLimits {
     fair_share: 256 * 1024,
     most: 2 * 1024 * 1024,
     flush_timeout: Duration::from_millis(20),
@@ -162,7 +162,7 @@
 
 impl WriteBuffer {
     /// An empty buffer within limits of its own and a budget that it shares.
-    pub fn new(limits: Limits, budget: Rc<WriteBudget>) -> Self {
+    pub fn new(limits: ConnectionLimits, budget: Rc<WriteBudget>) -> Self {
         Self {
             limits,
             budget,
--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -52,7 +52,7 @@
         message: &Message,
         echoed: String,
     ) {
-        if self.is_stopping || self.clients.is_closing(client) {
+        if self.is_stopped || self.clients.is_closing(client) {
             return self.refuse_new_request(client, &id, &echoed);
         }
         let Some(offer) = self.offer(&id, number, message) else {
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -107,9 +107,7 @@
     pools: BTreeMap<ExchangeId, ExchangePool>,
     next_conn: u64,
     draining: bool,
-    /// No request is taken up any more.
-    is_stopping: bool,
-    /// The connections to exchanges are closed for good.
+    /// No request is taken up any more, and the connections to exchanges are closed for good.
     is_stopped: bool,
     client_budget: Rc<WriteBudget>,
     server_budget: Rc<WriteBudget>,
@@ -157,7 +155,6 @@
                 pools: BTreeMap::new(),
                 next_conn: 0,
                 draining: false,
-                is_stopping: false,
                 is_stopped: false,
                 client_budget: WriteBudget::new(connection::WRITE_BUDGET),
                 server_budget: WriteBudget::new(connection::WRITE_BUDGET),
@@ -243,7 +240,7 @@
         self.flush();
         let unrouted: Vec<CallId> = self.invites.keys().cloned().collect();
         unrouted.iter().for_each(|id| self.answer_unrouted(id, 503));
-        (self.is_stopping, self.is_stopped) = (true, true);
+        self.is_stopped = true;
         self.pools.values().for_each(ExchangePool::close);
         self.clients.close_all();
     }
