--- a/emulator/src/exchange.rs
+++ b/emulator/src/exchange.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep, Instant};
 
-use crate::ledger::{AttemptEnd, Ledger, Request, Route, Rule};
+use crate::ledger::{AttemptEnd, Ledger, Route, Rule, SetUp};
 use crate::scenario::{Party, Scenario};
 
 /// The protocol's limit of connections to one exchange.
@@ -146,6 +146,13 @@
         self.is_hung.set(false);
     }
 
+    /// Returns once it does not hang.
+    async fn outlast_hang(&self) {
+        while self.is_hung.get() {
+            sleep(POLL).await;
+        }
+    }
+
     /// The network is cut for a while; what was sent meanwhile arrives when it is mended.
     pub async fn cut(&self, length: Duration) {
         self.is_cut.set(true);
@@ -359,21 +366,13 @@
         let mut ledger = self.ledger.borrow_mut();
         match message["verb"].as_str().unwrap_or_default() {
             "START" => {
-                let sent = Request {
+                let set_up = SetUp {
                     call,
-                    class: 0,
+                    class: text(&opts["class"]),
                     number: text(&opts["key"]),
                     description: text(&message["blob"]),
-                    wait: Duration::ZERO,
-                    dest: self.place,
                 };
-                ledger.on_attempt(
-                    self.id(),
-                    self.route(number),
-                    begun,
-                    &sent,
-                    opts["class"].as_str().unwrap_or_default(),
-                );
+                ledger.on_attempt(self.id(), self.route(number), begun, &set_up);
                 if let Some(born) = self.born.get().filter(|b| b.elapsed().as_secs_f64() < COLD_S) {
                     let warmth = COLD_FROM + (1.0 - COLD_FROM) * born.elapsed().as_secs_f64() / COLD_S;
                     ledger.on_cold_arrival(self.id(), 2.0 * CAPACITY_PER_S * warmth, Duration::from_secs(1));
@@ -471,9 +470,7 @@
         let process = self.process.get();
         tokio::task::spawn_local(async move {
             sleep(delay).await;
-            while me.is_hung.get() {
-                sleep(POLL).await;
-            }
+            me.outlast_hang().await;
             if me.process.get() == process && me.calls.borrow().get(&call).is_some_and(|s| !s.stands) {
                 me.answer(call, number, luck).await;
             }
@@ -511,9 +508,7 @@
         let process = self.process.get();
         tokio::task::spawn_local(async move {
             sleep(hold).await;
-            while self.is_hung.get() {
-                sleep(POLL).await;
-            }
+            self.outlast_hang().await;
             if self.process.get() == process {
                 self.release(&call);
             }
--- a/emulator/src/ledger.rs
+++ b/emulator/src/ledger.rs
@@ -88,6 +88,19 @@
     pub dest: u32,
 }
 
+/// A set-up as it leaves the router.
+#[derive(Debug, Clone)]
+pub struct SetUp {
+    /// Call id.
+    pub call: String,
+    /// Name of the class.
+    pub class: String,
+    /// Number called.
+    pub number: String,
+    /// Description.
+    pub description: String,
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -306,14 +319,14 @@
         let (sent, wait, withdrawn) = (call.sent_at.unwrap_or(now), call.request.wait, call.withdrawn);
         let given = call.descriptions.iter().any(|d| d == body);
         let forbidden = call.may_have_run() && matches!(status, 480 | 503);
-        let effect_safe = self.terms.classes[call.request.class].safe;
+        let is_safe = self.terms.classes[call.request.class].safe;
         if let Some((_, earlier)) = first {
             self.violate(Rule::LostRequest, format!("{id}: answered {earlier}, then {status}"));
         }
         if status == 200 && !given {
             self.violate(Rule::Content, format!("{id}: 200 with what no exchange gave: {body:?}"));
         }
-        if forbidden && !effect_safe && !withdrawn {
+        if forbidden && !is_safe && !withdrawn {
             self.violate(Rule::Repeat, format!("{id}: {status} though an attempt may have run"));
         }
         if matches!(status, 480 | 503) && hold_off.is_none() && self.terms.hold_off {
@@ -380,39 +393,52 @@
     // ---- exchanges --------------------------------------------------------------------------------
 
     /// A whole set-up has come from the router; `begun` is the time of its first byte.
-    pub fn on_attempt(&mut self, exchange: u32, route: Route, begun: Instant, sent: &Request, class: &str) {
+    pub fn on_attempt(&mut self, exchange: u32, route: Route, begun: Instant, set_up: &SetUp) {
         self.counts.attempts += 1;
-        let now = Instant::now();
-        let id = sent.call.clone();
+        let id = &set_up.call;
         if route.place == self.terms.own_place {
             self.violate(Rule::Content, format!("{id}: sent to the router's own exchange"));
         }
-        if let Some(told) =
-            self.told.get(&exchange).filter(|at| begun > **at + self.terms.drain_grace + SLACK)
-        {
+        self.check_drain(exchange, begun, id);
+        let Some(call) = self.calls.get(id) else {
+            return self.violate(Rule::Content, format!("{id}: a set-up that no client sent"));
+        };
+        let faults = [self.request_faults(call, set_up), self.attempt_faults(call, exchange, begun)];
+        faults.into_iter().flatten().for_each(|(rule, text)| self.violate(rule, text));
+        if let Some(call) = self.calls.get_mut(id) {
+            call.attempts.push(Attempt { exchange, route, end: None });
+        }
+    }
+
+    fn check_drain(&mut self, exchange: u32, begun: Instant, id: &str) {
+        let told = self.told.get(&exchange).filter(|at| begun > **at + self.terms.drain_grace + SLACK);
+        if let Some(told) = told {
             let text = format!("{id}: sent to s-{exchange:08x} {:?} after its drain was told", begun - *told);
             self.violate(Rule::Drain, text);
         }
-        let Some(call) = self.calls.get(&id) else {
-            return self.violate(Rule::Content, format!("{id}: a set-up that no client sent"));
-        };
-        let terms = self.class(call);
-        let mut faults = Vec::new();
-        let same = sent.description == call.request.description && sent.number == call.request.number;
-        if !same || class != terms.name {
+    }
+
+    /// What is wrong with a set-up, going by its client's request.
+    fn request_faults(&self, call: &Call, set_up: &SetUp) -> Vec<(Rule, String)> {
+        let (id, now, mut faults) = (&set_up.call, Instant::now(), Vec::new());
+        let same = set_up.description == call.request.description && set_up.number == call.request.number;
+        if !same || set_up.class != self.class(call).name {
             faults.push((Rule::Content, format!("{id}: changed on its way")));
         }
-        if let Some((at, status)) = call.answer {
-            if now > at + SLACK {
-                faults
-                    .push((Rule::OneAttempt, format!("{id}: sent {:?} after its answer {status}", now - at)));
-            }
+        if let Some((at, status)) = call.answer.filter(|(at, _)| now > *at + SLACK) {
+            faults.push((Rule::OneAttempt, format!("{id}: sent {:?} after its answer {status}", now - at)));
         }
+        faults
+    }
+
+    /// What is wrong with a set-up, going by the attempts before it.
+    fn attempt_faults(&self, call: &Call, exchange: u32, begun: Instant) -> Vec<(Rule, String)> {
+        let (id, mut faults) = (&call.request.call, Vec::new());
         for attempt in &call.attempts {
             match attempt.end {
                 None => {
-                    let text =
-                        format!("{id}: sent to s-{exchange:08x} while out at s-{:08x}", attempt.exchange);
+                    let other = attempt.exchange;
+                    let text = format!("{id}: sent to s-{exchange:08x} while out at s-{other:08x}");
                     faults.push((Rule::OneAttempt, text));
                 }
                 Some((at, AttemptEnd::Reset | AttemptEnd::GivenUp))
@@ -424,13 +450,10 @@
                 Some(_) => {}
             }
         }
-        if call.may_have_run() && !terms.safe {
+        if call.may_have_run() && !self.class(call).safe {
             faults.push((Rule::Repeat, format!("{id}: repeated though an attempt may have run")));
         }
-        faults.into_iter().for_each(|(rule, text)| self.violate(rule, text));
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.attempts.push(Attempt { exchange, route, end: None });
-        }
+        faults
     }
 
     /// A set-up reaches an exchange that is still cold, and bears `bearable` set-ups in the window.
--- a/emulator/src/run.rs
+++ b/emulator/src/run.rs
@@ -245,7 +245,7 @@
                 Ok(Some(order)) => order,
                 Ok(None) => return Ok(()),
                 Err(_) => {
-                    self.look_at(&mut router);
+                    self.inspect(&mut router);
                     continue;
                 }
             };
@@ -331,7 +331,7 @@
     }
 
     /// Notes an unexpected end, and what the process holds.
-    fn look_at(&self, router: &mut Router) {
+    fn inspect(&self, router: &mut Router) {
         let mut ledger = self.ledger.borrow_mut();
         if let Some(status) = router.ended() {
             let seen = ledger.violations().iter().any(|v| v.rule == Rule::Crash);
