--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 //! with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the
 //! environment the case runs without its disruption.
 
+mod console;
 mod memory;
 mod platform;
 mod sip;
@@ -30,6 +31,7 @@
         exit(2); // the routers end with this process
     });
     let result = match case.as_str() {
+        "console" => console::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         _ => Err(format!("no case {case}").into()),
     };
