--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod platform;
 mod sip;
+mod vrrp;
 
 use std::process::exit;
 use std::time::Duration;
@@ -31,6 +32,7 @@
         exit(2); // the routers end with this process
     });
     let result = match case.as_str() {
+        "vrrp" => vrrp::run(&record, trouble),
         "console" => console::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
         _ => Err(format!("no case {case}").into()),
