--- a/review/standins/console.rs
+++ b/review/standins/console.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::platform::{free_tcp, known, settings, CaseResult, Folder, Record, Router};
-use crate::sip::{start_exchange, test, wait_until_ready, Callers};
+use crate::sip::{test, wait_until_ready, Callers, Exchange};
 
 extern "C" {
     fn ioctl(fd: i32, request: u64, ...) -> i32;
@@ -43,7 +43,7 @@
 
 pub fn run(record: &Record, trouble: bool) -> CaseResult<bool> {
     let folder = Folder::create()?;
-    let exchange = start_exchange(Duration::from_secs(3))?;
+    let exchange = Exchange::start(Duration::from_secs(3))?.address;
     let listen = free_tcp()?;
     let config = format!(
         r#"{{"name": "appliance", "listen": "{listen}", "seed": "8c1f30d27a5be964", "console": true,
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod console;
 mod memory;
 mod platform;
+mod reload;
 mod sip;
 mod vrrp;
 
@@ -32,6 +33,7 @@
         exit(2); // the routers end with this process
     });
     let result = match case.as_str() {
+        "reload" => reload::run(&record, trouble),
         "vrrp" => vrrp::run(&record, trouble),
         "console" => console::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::platform::{free_tcp, known, settings, CaseResult, Folder, Record, Router};
-use crate::sip::{invite, start_exchange, wait_until_ready, Callers, DESCRIPTION};
+use crate::sip::{invite, wait_until_ready, Callers, Exchange, DESCRIPTION};
 
 /// Memory limit of the router in MB: the most that the deployment page allows on scored days.
 const MEMORY_MB: f64 = 192.0;
@@ -29,7 +29,7 @@
 
 pub fn run(record: &Record, trouble: bool) -> CaseResult<bool> {
     let folder = Folder::create()?;
-    let exchange = start_exchange(Duration::from_secs(3))?;
+    let exchange = Exchange::start(Duration::from_secs(3))?.address;
     let listen = free_tcp()?;
     let config = format!(
         r#"{{"name": "n0", "listen": "{listen}", "seed": "8c1f30d27a5be964",
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -17,6 +17,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 const PR_SET_PDEATHSIG: i32 = 1;
+const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
 
 /// The record of a case, with the seconds since its start on each line.
@@ -32,6 +33,11 @@
         Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
 
+    /// Returns a time as the record shows it.
+    pub fn seconds(&self, at: Instant) -> f64 {
+        at.duration_since(self.start).as_secs_f64()
+    }
+
     pub fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap();
         let _ = writeln!(file, "{:8.3} {text}", self.start.elapsed().as_secs_f64());
@@ -81,6 +87,7 @@
 /// A router process. It is killed when the value is dropped, or when this process ends.
 pub struct Router {
     pub child: Child,
+    config: PathBuf,
 }
 
 impl Router {
@@ -110,7 +117,7 @@
         }
         let child = command.spawn()?;
         record.line(&format!("router {name} started: {run}"));
-        Ok(Self { child })
+        Ok(Self { child, config: file })
     }
 
     /// Resident memory in MB (2^20 bytes), as the kernel reports it.
@@ -124,6 +131,18 @@
         self.child.try_wait().ok().flatten().is_some()
     }
 
+    /// Replaces the configuration file in one step.
+    pub fn replace_config(&self, text: &str) -> CaseResult<()> {
+        let new = self.config.with_extension("new");
+        std::fs::write(&new, text)?;
+        Ok(std::fs::rename(&new, &self.config)?)
+    }
+
+    /// Sends SIGHUP to the program: the configuration file has been replaced.
+    pub fn hang_up(&self) {
+        unsafe { kill(self.child.id() as i32, SIGHUP) };
+    }
+
     pub fn kill(&mut self) {
         unsafe { kill(self.child.id() as i32, SIGKILL) };
         let _ = self.child.wait();
@@ -167,17 +186,17 @@
     )
 }
 
+/// One exchange in an event of the key `known`, ready, for a node.
+pub fn host(node: u32, address: &SocketAddr) -> String {
+    format!(
+        r#"{{"host": "s-{node:08x}", "dial": "{address}", "site": "ljubljana", "class": "standard", "block": {node},
+        "health": "active", "share": 1, "born_ms": 0}}"#
+    )
+}
+
 /// The configuration's key `known`, with one exchange at each address, for the nodes 1, 2 and so on.
 pub fn known(exchanges: &[SocketAddr]) -> String {
-    let host = |(i, address): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"host": "s-{:08x}", "dial": "{address}", "site": "ljubljana", "class": "standard", "block": {},
-        "health": "active", "share": 1, "born_ms": 0}}"#,
-            i + 1,
-            i + 1
-        )
-    };
-    let hosts: Vec<String> = exchanges.iter().enumerate().map(host).collect();
+    let hosts: Vec<String> = exchanges.iter().zip(1..).map(|(address, node)| host(node, address)).collect();
     format!(
         r#"{{"index": 1, "updates": [{{"index": 1, "endpoints": {{"seq": 1, "whole": true, "hosts": [{}]}}}}]}}"#,
         hosts.join(", ")
--- a/review/standins/vrrp.rs
+++ b/review/standins/vrrp.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::platform::{free_tcp, free_udp, known, settings, CaseResult, Folder, Record, Router};
-use crate::sip::{start_exchange, wait_until_ready};
+use crate::sip::{Exchange, wait_until_ready};
 
 /// Time with a whole network, length of the cut (the page: 6 to 19 s), and time after it.
 const CALM: Duration = Duration::from_secs(8);
@@ -114,7 +114,7 @@
 
 pub fn run(record: &Record, trouble: bool) -> CaseResult<bool> {
     let folder = Folder::create()?;
-    let exchange = start_exchange(Duration::from_secs(3))?;
+    let exchange = Exchange::start(Duration::from_secs(3))?.address;
     let look_ups: LookUps = Arc::default();
     // The network between the routers: each router's peer is a socket of the network.
     let (side_a, side_b) = (UdpSocket::bind("127.0.0.1:0")?, UdpSocket::bind("127.0.0.1:0")?);
