--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod platform;
 mod reload;
+mod restart;
 mod sip;
 mod vrrp;
 
@@ -34,6 +35,7 @@
     });
     let result = match case.as_str() {
         "reload" => reload::run(&record, trouble),
+        "restart" => restart::run(&record, trouble),
         "vrrp" => vrrp::run(&record, trouble),
         "console" => console::run(&record, trouble),
         "memory" => memory::run(&record, trouble),
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -19,6 +19,7 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
 
 /// The record of a case, with the seconds since its start on each line.
 #[derive(Clone)]
@@ -143,6 +144,11 @@
         unsafe { kill(self.child.id() as i32, SIGHUP) };
     }
 
+    /// Sends SIGTERM to the program: a planned restart begins.
+    pub fn terminate(&self) {
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+    }
+
     pub fn kill(&mut self) {
         unsafe { kill(self.child.id() as i32, SIGKILL) };
         let _ = self.child.wait();
--- a/review/standins/sip.rs
+++ b/review/standins/sip.rs
@@ -38,10 +38,21 @@
     releases: Vec<String>,
     /// Every set-up that has arrived.
     set_ups: Vec<(String, Instant)>,
+    /// Ends of the calls that the exchange has released itself.
+    ended: BTreeMap<String, Instant>,
+    /// Where the messages of the exchange are noted, if anywhere.
+    record: Option<Record>,
 }
 
 impl ExchangeState {
+    fn note(&self, text: &str) {
+        if let Some(record) = &self.record {
+            record.line(&format!("exchange: {}", text.trim_end()));
+        }
+    }
+
     fn send(&self, connection: u64, line: &str) {
+        self.note(&format!("sent on connection {connection}: {line}"));
         if let Some(mut stream) = self.connections.get(&connection) {
             let _ = stream.write_all(line.as_bytes());
         }
@@ -85,6 +96,16 @@
         state.calls.iter().filter(|(_, (_, stands))| *stands).map(|(tag, _)| tag.clone()).collect()
     }
 
+    /// Notes the messages of the exchange in the record from now on.
+    pub fn log_to(&self, record: &Record) {
+        self.state.lock().unwrap().record = Some(record.clone());
+    }
+
+    /// Returns when the exchange released a call.
+    pub fn ended_at(&self, call: &str) -> Option<Instant> {
+        self.state.lock().unwrap().ended.get(call).copied()
+    }
+
     /// Returns the set-ups that have arrived, with their times.
     pub fn set_ups(&self) -> Vec<(String, Instant)> {
         self.state.lock().unwrap().set_ups.clone()
@@ -96,6 +117,7 @@
             let mut state = self.state.lock().unwrap();
             state.last_connection += 1;
             let number = state.last_connection;
+            state.note(&format!("connection {number} opened"));
             state.connections.insert(number, stream.try_clone().expect("clone"));
             state.send(number, &state.group_state());
             let releases = std::mem::take(&mut state.releases);
@@ -103,6 +125,7 @@
             number
         };
         for line in BufReader::new(stream).lines().map_while(Result::ok) {
+            self.state.lock().unwrap().note(&format!("received on connection {number}: {line}"));
             let Some(tag) = line.split("\"tag\":\"").nth(1).and_then(|t| t.split('"').next()) else { continue };
             if line.starts_with("{\"verb\":\"FINISH\",") {
                 // The set-up is given up, or the call is cut.
@@ -117,6 +140,7 @@
         // The end of a connection gives up the set-ups open on it. A standing call belongs to no connection.
         let mut state = self.state.lock().unwrap();
         state.connections.remove(&number);
+        state.note(&format!("connection {number} closed"));
         state.calls.retain(|_, (connection, stands)| *stands || *connection != number);
     }
 
@@ -150,6 +174,7 @@
             if state.calls.remove(&tag).is_none() {
                 return; // the router has cut the call
             }
+            state.ended.insert(tag.clone(), Instant::now());
             let open = state.connections.keys().copied();
             let any = open.filter(|c| *c == connection).next().or(state.connections.keys().next_back().copied());
             any.into_iter().for_each(|c| state.send(c, &release(&tag)));
@@ -178,7 +203,7 @@
 pub const DESCRIPTION: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n";
 
 /// Returns the first line, Call-ID and CSeq of the next message, or `None` at the end of the connection.
-fn read_message(reader: &mut BufReader<TcpStream>) -> Option<(String, String, String)> {
+pub fn read_message(reader: &mut BufReader<TcpStream>) -> Option<(String, String, String)> {
     let (mut first, mut call, mut cseq, mut length) = (String::new(), String::new(), String::new(), 0);
     loop {
         let mut line = String::new();
