Review case 3: bad clients use up a release, and its callers are never told

Takes the place of the planned restart, which stays as a program (standins restart) and in the report. Seen: a call ends while no caller is connected; five clients that send half a request and close use up the release within 1.5 s; the callers who connect 3 s after the end are never told, although the exchange repeats the release at 4.5 s.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 standins=$here/../../target/review/standins
 [ -x "$standins" ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$standins" restart "$here/record.txt"
+exec "$standins" release "$here/record.txt"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod console;
 mod memory;
 mod platform;
+mod release;
 mod reload;
 mod restart;
 mod sip;
@@ -34,6 +35,7 @@
         exit(2); // the routers end with this process
     });
     let result = match case.as_str() {
+        "release" => release::run(&record, trouble),
         "reload" => reload::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         "vrrp" => vrrp::run(&record, trouble),
--- a/review/standins/restart.rs
+++ b/review/standins/restart.rs
@@ -31,10 +31,10 @@
 const CALLS: [(&str, Duration); 2] = [("00000000000000aa", CALL_A_AT), ("00000000000000bb", CALL_B_AT)];
 
 /// What the callers have been told, by call: the answer, then the release.
-type Told = Arc<Mutex<BTreeMap<String, Vec<(String, Instant)>>>>;
+pub type Told = Arc<Mutex<BTreeMap<String, Vec<(String, Instant)>>>>;
 
 /// Opens a connection of the callers, and notes the final answers and releases that arrive on it.
-fn connect(record: &Record, router: SocketAddr, told: &Told) -> CaseResult<TcpStream> {
+pub fn connect(record: &Record, router: SocketAddr, told: &Told) -> CaseResult<TcpStream> {
     let stream = TcpStream::connect_timeout(&router, Duration::from_secs(2))?;
     record.line("the callers open a connection");
     let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream.try_clone()?);
