Limit open requests by their memory, shared among clients, and drop no answer for it

Open requests were limited by number only (MAX_SET_UPS_PER_CONNECTION in src/net/platform/mod.rs, MAX_OPEN_CALLS in src/call/core.rs), each with up to 16 KiB (Call::description, Invite::echoed_headers); limits.memory_mb was not read. On related paths: with the bytes in Via, the answers that were due together exceeded the 1 MB of a write buffer, so that WriteBuffer::enqueue aborted the connection and all requests on it were lost; 25 connections with 1,000 short requests took all 20,000 places, so that a client beside them was refused at once; an established call kept its description, and each idle connection a read buffer of 8 KB and the largest buffers that it ever had.

Change: requests, and the answers to them until they are written, are charged to an account of their connection (src/call/budget.rs). Its limits follow from memory_mb (src/call/memory.rs): a reserve, then twice what is free, and a part that only clients of which a call has been answered may use, since bad ones can use up the rest in turn. The number of open requests is shared alike; 20,000 stay possible, with up to 1,024 on a connection. What is over is refused with X-Hold-Off; what was accepted is always answered. A client with too many other unsent bytes is no longer aborted but not read until it has read, and disconnected after 5 s without progress. An established call keeps a hash of its text. A description is still compared with that of an open set-up of the same id; by the hash, equal ones always match.

--- a/src/call/calls.rs
+++ b/src/call/calls.rs
@@ -1,6 +1,7 @@
 //! Open calls (unanswered requests and established calls) and the ids of calls that ended recently.
 
 use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,22 @@
     pub sent_at: Duration,
 }
 
+/// The text that the set-ups of a call carry.
+#[derive(Debug, Clone)]
+pub struct SetUpText {
+    /// Called number.
+    pub called_number: Arc<str>,
+    /// Session description, passed on unchanged.
+    pub description: Arc<str>,
+}
+
+/// Returns a hash by which two session descriptions are compared once the text itself is no longer kept.
+pub fn hash_description(description: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    description.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// An open call.
 #[derive(Debug)]
 pub struct Call {
@@ -28,10 +45,10 @@
     pub origin: Origin,
     /// Index of its class.
     pub class: usize,
-    /// Called number.
-    pub called_number: Arc<str>,
-    /// Session description, passed on unchanged.
-    pub description: Arc<str>,
+    /// What its set-ups carry; `None` once the call is established and no further set-up can follow.
+    pub set_up: Option<SetUpText>,
+    /// Hash of the session description, by which a repeated request is recognized.
+    pub description_hash: u64,
     /// Time at which the caller stops waiting for an answer.
     pub deadline: Duration,
     /// Number of attempts made so far.
@@ -42,6 +59,13 @@
     pub is_established: bool,
 }
 
+impl Call {
+    /// Returns whether the call was requested with this session description.
+    pub fn has_description(&self, description: &str) -> bool {
+        self.description_hash == hash_description(description)
+    }
+}
+
 /// Time for which the id of an ended call is kept, so that messages arriving late for it are recognized.
 const ENDED_CALL_RETENTION: Duration = Duration::from_secs(15);
 /// Largest number of such ids; beyond it the oldest are dropped.
--- a/src/call/core.rs
+++ b/src/call/core.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::calls::{Attempt, Call, Calls, Origin};
+use super::calls::{hash_description, Attempt, Call, Calls, Origin, SetUpText};
 use super::exchanges::Exchanges;
 use super::timers::TimerQueue;
 use crate::interface::{
@@ -127,8 +127,9 @@
     RequestDeadline(CallId),
 }
 
-/// Largest number of open calls; further requests are refused without being passed to the controller.
-const MAX_OPEN_CALLS: usize = 20_000;
+/// Largest number of open calls, established ones included; further requests are refused without being passed
+/// to the controller. The front end limits those that are unanswered, of which the platform allows 20,000.
+const MAX_OPEN_CALLS: usize = 40_000;
 
 /// Time after a request's deadline at which the core answers in place of the controller.
 ///
@@ -242,8 +243,11 @@
         let call = Call {
             origin: request.origin,
             class: offered.class,
-            called_number: offered.called_number.clone(),
-            description: request.description,
+            description_hash: hash_description(&request.description),
+            set_up: Some(SetUpText {
+                called_number: offered.called_number.clone(),
+                description: request.description,
+            }),
             deadline,
             attempts_made: 0,
             attempt: None,
@@ -288,6 +292,7 @@
                 if std::mem::replace(&mut call.is_established, true) {
                     return;
                 }
+                call.set_up = None;
                 let Some(attempt) = call.attempt.clone() else { return };
                 let origin = call.origin;
                 self.effects.push(Effect::Answer { origin, call: id.clone(), description });
@@ -490,18 +495,20 @@
         let give_up_at = if give_up_at.is_zero() { call.deadline } else { give_up_at.min(call.deadline) };
         let attempt = Attempt { exchange: exchange.clone(), number: call.attempts_made, sent_at: self.now };
         call.attempts_made += 1;
-        if !is_listed || call.attempt.is_some() || call.is_established || give_up_at <= self.now {
+        let is_sendable = is_listed && call.attempt.is_none() && give_up_at > self.now;
+        let Some(SetUpText { called_number, description }) = call.set_up.clone().filter(|_| is_sendable)
+        else {
             return self.queue_outcome(id, &attempt, AttemptStatus::Moot, None, Vec::new(), false);
-        }
+        };
         self.timers.schedule(give_up_at, Timer::AttemptTimeout(id.clone(), attempt.number));
         call.attempt = Some(attempt);
         self.effects.push(Effect::SendSetUp {
             exchange,
             call: id.clone(),
             class: call.class,
-            called_number: call.called_number.clone(),
+            called_number,
             remaining: give_up_at - self.now,
-            description: call.description.clone(),
+            description,
         });
     }
 }
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -3,7 +3,9 @@
 //! This module is independent of any protocol. [`core::Core`] passes events to the controller and turns
 //! the controller's actions into [`core::Effect`]s, which a front end carries out.
 
+pub mod budget;
 pub mod calls;
 pub mod core;
 pub mod exchanges;
+pub mod memory;
 pub mod timers;
--- a/src/lifecycle/config.rs
+++ b/src/lifecycle/config.rs
@@ -29,6 +29,11 @@
 /// Connect time-out if the configuration gives none or zero.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Memory limit in megabytes if the configuration gives none.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+/// Size of a megabyte. The decimal one is the smaller, so that the limit is kept in either reading.
+const BYTES_PER_MEGABYTE: f64 = 1e6;
+
 type ConfigResult<T> = Result<T, ConfigError>;
 
 /// A value of the configuration and its path, such as `enum.listen`.
@@ -199,6 +204,8 @@
     pub seed: u64,
     /// Maximum number of open file descriptors.
     pub max_sockets: usize,
+    /// Memory in bytes beyond which the process may be killed.
+    pub memory_limit: usize,
     /// Address on which datagrams of other routers are received.
     pub peer_listen: Option<SocketAddr>,
     /// Addresses of all routers, indexed by router number.
@@ -263,6 +270,7 @@
             listen: root.get("listen").address()?,
             seed,
             max_sockets: root.get("limits").get("sockets").whole_number(1024)? as usize,
+            memory_limit: read_memory_limit(&root.get("limits").get("memory_mb"))?,
             peer_listen: root.get("peer_listen").optional_address()?,
             peers: root.get("peers").items()?.iter().map(ConfigNode::address).collect::<ConfigResult<_>>()?,
             peers_all: root.get("peers_all").optional_address()?,
@@ -303,6 +311,7 @@
             ("peer_listen", self.peer_listen != new.peer_listen),
             ("settings", settings(self) != settings(new)),
             ("console", self.has_console != new.has_console),
+            ("limits.memory_mb", self.memory_limit != new.memory_limit),
             ("enum.listen/query_timeout_ms/guard_ms/attempts", enum_front_end(self) != enum_front_end(new)),
             ("vrrp.listen/vrid/addresses", virtual_router(self) != virtual_router(new)),
         ];
@@ -310,6 +319,15 @@
     }
 }
 
+/// Reads a memory limit in megabytes, which need not be a whole number. Returns it in bytes.
+fn read_memory_limit(node: &ConfigNode<'_>) -> ConfigResult<usize> {
+    let megabytes = node.number(DEFAULT_MEMORY_MB)?;
+    if megabytes <= 0.0 {
+        return node.invalid("must be more than 0");
+    }
+    Ok((megabytes * BYTES_PER_MEGABYTE) as usize)
+}
+
 /// Reads a duration in milliseconds, which must not be zero.
 fn read_millis(node: &ConfigNode<'_>, default: u64) -> ConfigResult<Duration> {
     match node.whole_number(default)? {
--- a/src/net/client_connections.rs
+++ b/src/net/client_connections.rs
@@ -1,9 +1,12 @@
 //! Client connections: which are admitted, which are closed and why, and which one carries a release.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::connection::{CloseReason, SharedWriteBuffer};
+use crate::call::budget::{Account, Budget, BudgetLimits, Charge};
+use crate::call::memory::OPEN_REQUESTS;
 use crate::interface::CallId;
 
 /// Number of connections beyond the limit that may still be closing.
@@ -19,11 +22,47 @@
 /// Time that a new connection has for its first message while the router stops.
 const FIRST_MESSAGE_GRACE: Duration = Duration::from_millis(300);
 
+/// Maximum number of open requests on one connection.
+const MAX_REQUESTS_PER_CONNECTION: usize = 1024;
+
+/// Why a connection may have no further open request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestLimit {
+    /// Too many requests are open on the connection.
+    Connection,
+    /// Too many requests are open on all connections together.
+    Count,
+    /// The open requests and unsent answers take too much memory.
+    Memory,
+}
+
+impl RequestLimit {
+    /// Returns the name used in the log and in the metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Connection => "connection_full",
+            Self::Count => "too_many_requests",
+            Self::Memory => "memory_full",
+        }
+    }
+}
+
+/// What an open request is charged for.
+#[derive(Debug)]
+struct OpenRequest {
+    _count: Charge,
+    memory: Charge,
+}
+
 /// One client connection.
 #[derive(Debug)]
 struct ClientConnection {
     writes: SharedWriteBuffer,
-    open_requests: HashSet<CallId>,
+    open_requests: HashMap<CallId, OpenRequest>,
+    /// Account of the number of open requests.
+    request_count: Rc<Account>,
+    /// Account of the memory of open requests, and of the answers to them that are not written yet.
+    request_memory: Rc<Account>,
     opened_at: Duration,
     /// Time of the last complete message.
     last_received_at: Option<Duration>,
@@ -37,10 +76,17 @@
 }
 
 impl ClientConnection {
-    fn new(now: Duration, writes: SharedWriteBuffer) -> Self {
+    fn new(
+        now: Duration,
+        writes: SharedWriteBuffer,
+        request_count: Rc<Account>,
+        request_memory: Rc<Account>,
+    ) -> Self {
         Self {
             writes,
-            open_requests: HashSet::new(),
+            open_requests: HashMap::new(),
+            request_count,
+            request_memory,
             opened_at: now,
             last_received_at: None,
             partial_message_since: None,
@@ -64,6 +110,13 @@
         self.last_received_at.unwrap_or(self.opened_at)
     }
 
+    /// Closes the connection if that was requested and no request is open on it any more.
+    fn close_if_requested(&mut self) {
+        if let Some(reason) = self.requested_close {
+            self.request_close(reason);
+        }
+    }
+
     /// Closes the connection now if no request is open on it, else as soon as the last one is answered.
     fn request_close(&mut self, reason: CloseReason) {
         let reason = *self.requested_close.get_or_insert(reason);
@@ -79,12 +132,21 @@
     open: BTreeMap<u64, ClientConnection>,
     /// Maximum number of connections.
     pub limit: usize,
+    /// Number of open requests on all connections.
+    request_count: Rc<Budget>,
+    /// Memory of the open requests on all connections, and of the answers to them.
+    request_memory: Rc<Budget>,
 }
 
 impl ClientConnections {
-    /// Creates an empty set of at most `limit` connections.
-    pub fn new(limit: usize) -> Self {
-        Self { open: BTreeMap::new(), limit }
+    /// Creates an empty set of at most `limit` connections, with limits in bytes on the memory of their requests.
+    pub fn new(limit: usize, request_memory: BudgetLimits) -> Self {
+        Self {
+            open: BTreeMap::new(),
+            limit,
+            request_count: Budget::new(OPEN_REQUESTS),
+            request_memory: Budget::new(request_memory),
+        }
     }
 
     /// Adds a new connection. Returns false if there are too many.
@@ -103,13 +165,15 @@
                 return false;
             }
         }
-        self.open.insert(id, ClientConnection::new(now, writes));
+        let request_count = Rc::new(Account::new(self.request_count.clone()));
+        let request_memory = Rc::new(Account::new(self.request_memory.clone()));
+        self.open.insert(id, ClientConnection::new(now, writes, request_count, request_memory));
         true
     }
 
     /// Removes a connection that has ended, and returns the requests that were open on it.
-    pub fn remove(&mut self, id: u64) -> HashSet<CallId> {
-        self.open.remove(&id).map(|c| c.open_requests).unwrap_or_default()
+    pub fn remove(&mut self, id: u64) -> Vec<CallId> {
+        self.open.remove(&id).map(|c| c.open_requests.into_keys().collect()).unwrap_or_default()
     }
 
     /// Returns whether there are no connections.
@@ -150,25 +214,49 @@
         self.open.get(&id).map_or(0, |c| c.protocol_errors)
     }
 
-    /// Records an open request on a connection.
-    pub fn begin_request(&mut self, id: u64, call: CallId) {
-        if let Some(client) = self.open.get_mut(&id) {
-            client.open_requests.insert(call);
+    /// Returns the limit that forbids a further open request on a connection, if any. `memory` is what the
+    /// request would be charged for, in bytes.
+    ///
+    /// All connections share the limits on number and memory. A part is left to clients that are known to serve
+    /// calls, since any number of others may come and take what they can.
+    pub fn request_limit(&self, id: u64, memory: usize) -> Option<RequestLimit> {
+        let client = self.open.get(&id)?;
+        if client.open_requests.len() >= MAX_REQUESTS_PER_CONNECTION {
+            Some(RequestLimit::Connection)
+        } else if !client.request_count.allows(1) {
+            Some(RequestLimit::Count)
+        } else if !client.request_memory.allows(memory) {
+            Some(RequestLimit::Memory)
+        } else {
+            None
         }
     }
 
-    /// Records that a request has been answered or withdrawn.
-    pub fn end_request(&mut self, id: u64, call: &CallId) {
+    /// Records an open request on a connection, and the memory in bytes that it takes.
+    pub fn begin_request(&mut self, id: u64, call: CallId, memory: usize) {
         let Some(client) = self.open.get_mut(&id) else { return };
-        client.open_requests.remove(call);
-        if let Some(reason) = client.requested_close {
-            client.request_close(reason);
+        let request = OpenRequest {
+            _count: client.request_count.charge(1),
+            memory: client.request_memory.charge(memory),
+        };
+        client.open_requests.insert(call, request);
+    }
+
+    /// Queues the final answer to a request, which is no longer open then.
+    pub fn answer_request(&mut self, id: u64, call: &CallId, answer: &[u8]) {
+        let Some(client) = self.open.get_mut(&id) else { return };
+        match client.open_requests.remove(call) {
+            Some(request) => client.writes.enqueue_answer(answer, request.memory),
+            None => client.writes.enqueue(answer),
         }
+        client.close_if_requested();
     }
 
-    /// Returns the number of open requests on a connection.
-    pub fn open_requests(&self, id: u64) -> usize {
-        self.open.get(&id).map_or(0, |c| c.open_requests.len())
+    /// Records that a request has been withdrawn.
+    pub fn end_request(&mut self, id: u64, call: &CallId) {
+        let Some(client) = self.open.get_mut(&id) else { return };
+        client.open_requests.remove(call);
+        client.close_if_requested();
     }
 
     /// Returns whether a connection is closing or has ended, so that no further request on it is served.
@@ -176,10 +264,12 @@
         self.open.get(&id).is_none_or(|c| !c.is_open())
     }
 
-    /// Records that a call on a connection has been answered.
+    /// Records that a call on a connection has been answered, so that its client is known to serve calls.
     pub fn on_call_answered(&mut self, id: u64) {
         if let Some(client) = self.open.get_mut(&id) {
             client.has_served_call = true;
+            client.request_count.prefer();
+            client.request_memory.prefer();
         }
     }
 
@@ -208,6 +298,10 @@
         let mut overdue = Vec::new();
         let serving_count = self.open.values().filter(|c| c.has_served_call && c.is_open()).count();
         for (id, client) in self.open.iter_mut().filter(|(_, c)| c.is_open()) {
+            if client.writes.is_reading_paused() {
+                // The rest of the message may have arrived; it will be read later.
+                client.partial_message_since = client.partial_message_since.map(|_| now);
+            }
             let is_silent = client.last_received_at.is_none() && now >= client.opened_at + MESSAGE_TIMEOUT;
             let has_expired = now >= client.last_used_at() + IDLE_TIMEOUT;
             // The last connection whose client serves calls is kept, to carry releases.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,21 +1,29 @@
 //! TCP connections with a buffered writer, and the timers of the front ends.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{ready, Poll};
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::Notify;
 
-/// Capacity in bytes that an empty output buffer keeps.
-const RETAINED_CAPACITY: usize = 16 * 1024;
+use crate::call::budget::{Account, Budget, Charge};
+
+/// Size in bytes up to which queued messages are joined, to be written in one piece.
+const CHUNK_SIZE: usize = 16 * 1024;
 /// Maximum number of bytes per read.
 const READ_SIZE: usize = 8 * 1024;
+/// Maximum number of bytes per read when what arrives is dropped.
+const DISCARD_SIZE: usize = 512;
 /// Maximum number of times that a connection being closed is checked for bytes that have already arrived.
 const MAX_FINAL_READS: usize = 8;
 /// Maximum number of connections that wait to be accepted.
@@ -105,9 +113,13 @@
 #[derive(Debug)]
 pub struct WriteBuffer {
     limits: ConnectionLimits,
-    budget: Rc<WriteBudget>,
-    bytes: RefCell<Vec<u8>>,
-    /// Number of bytes queued and not yet written to the socket.
+    /// Memory taken by the buffers of the connection: its unsent bytes, and what its owner charges to it.
+    account: Account,
+    /// Queued bytes in the order in which they are written.
+    chunks: RefCell<VecDeque<Vec<u8>>>,
+    /// What the unsent bytes are charged to, in the order in which they are written.
+    segments: RefCell<VecDeque<Segment>>,
+    /// Number of unsent bytes that are charged to the account.
     unsent: Cell<usize>,
     close_reason: Cell<Option<CloseReason>>,
     /// Whether further bytes are discarded, since nothing more is written.
@@ -116,6 +128,24 @@
     changed: Notify,
 }
 
+/// Unsent bytes with the same charge.
+#[derive(Debug)]
+struct Segment {
+    length: usize,
+    /// What the bytes are charged to; `None` for the account of the connection.
+    charge: Option<Charge>,
+}
+
+/// What happens when a connection has too many unsent bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Overflow {
+    /// The connection is aborted.
+    Abort,
+    /// Nothing more is read until enough has been written, so that the peer causes no further answers. The
+    /// connection is aborted if nothing can be written for this long.
+    PauseReading(Duration),
+}
+
 /// Limits on the unsent bytes of a connection and on the time that its close may take.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectionLimits {
@@ -123,6 +153,8 @@
     pub guaranteed_unsent: usize,
     /// Maximum number of unsent bytes, allowed only within the shared budget.
     pub max_unsent: usize,
+    /// What happens beyond these limits.
+    pub overflow: Overflow,
     /// Maximum time for writing the queued bytes when the connection is closed.
     pub flush_timeout: Duration,
     /// Time to wait after that for the peer to close its side. Unread bytes would turn the close into a
@@ -130,10 +162,11 @@
     pub linger: Duration,
 }
 
-/// Limits of a client connection.
+/// Limits of a client connection. The answers to its requests are not subject to them.
 pub const CLIENT_LIMITS: ConnectionLimits = ConnectionLimits {
     guaranteed_unsent: 48 * 1024,
     max_unsent: 1024 * 1024,
+    overflow: Overflow::PauseReading(Duration::from_secs(5)),
     flush_timeout: Duration::from_millis(500),
     linger: Duration::from_millis(100),
 };
@@ -142,34 +175,19 @@
 pub const SERVER_LIMITS: ConnectionLimits = ConnectionLimits {
     guaranteed_unsent: 256 * 1024,
     max_unsent: 2 * 1024 * 1024,
+    overflow: Overflow::Abort,
     flush_timeout: Duration::from_millis(20),
     linger: Duration::ZERO,
 };
-/// Maximum number of unsent bytes on all client connections together, and on all connections to exchanges and
-/// the coordinator together.
-pub const WRITE_BUDGET: usize = 16 * 1024 * 1024;
-
-/// Number of unsent bytes shared by all connections of a kind.
-#[derive(Debug)]
-pub struct WriteBudget {
-    total: usize,
-    used: Cell<usize>,
-}
-
-impl WriteBudget {
-    /// Creates a budget of `total` bytes.
-    pub fn new(total: usize) -> Rc<Self> {
-        Rc::new(Self { total, used: Cell::new(0) })
-    }
-}
 
 impl WriteBuffer {
-    /// Creates an empty buffer with its own limits and a shared budget.
-    pub fn new(limits: ConnectionLimits, budget: Rc<WriteBudget>) -> Self {
+    /// Creates an empty buffer with its own limits, whose bytes are taken from a shared budget.
+    pub fn new(limits: ConnectionLimits, budget: Rc<Budget>) -> Self {
         Self {
             limits,
-            budget,
-            bytes: RefCell::default(),
+            account: Account::new(budget),
+            chunks: RefCell::default(),
+            segments: RefCell::default(),
             unsent: Cell::new(0),
             close_reason: Cell::new(None),
             is_finished: Cell::new(false),
@@ -177,24 +195,72 @@
         }
     }
 
-    /// Queues bytes. If too many bytes are unsent, the connection is aborted instead.
+    /// Returns the account to which the buffers of the connection are charged.
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
+    /// Queues bytes. If too many bytes are unsent, the connection is aborted instead, unless its limits say
+    /// that reading is paused.
     ///
     /// A connection that is closing still accepts bytes, for the answers to requests that were read before.
     pub fn enqueue(&self, bytes: &[u8]) {
         if self.is_finished.get() {
             return;
         }
-        let unsent = self.unsent.get() + bytes.len();
-        let is_over_guarantee = unsent > self.limits.guaranteed_unsent;
-        let is_over_budget = self.budget.used.get() + bytes.len() > self.budget.total;
-        if unsent > self.limits.max_unsent || (is_over_guarantee && is_over_budget) {
+        if self.limits.overflow == Overflow::Abort && self.exceeds_limits(bytes.len()) {
             return self.abort(CloseReason::WriteBufferFull);
         }
-        self.account(bytes.len(), 0);
-        self.bytes.borrow_mut().extend_from_slice(bytes);
+        self.account.take(bytes.len());
+        self.unsent.set(self.unsent.get() + bytes.len());
+        self.append(bytes, None);
+    }
+
+    /// Queues the answer to a request whose memory has been charged. The answer takes its place, so that it is
+    /// subject to no limit; the charge ends when the answer has been written.
+    pub fn enqueue_answer(&self, bytes: &[u8], mut charge: Charge) {
+        if self.is_finished.get() {
+            return;
+        }
+        charge.raise_to(bytes.len());
+        self.append(bytes, Some(charge));
+    }
+
+    /// Adds bytes to the last chunk if they fit there, else as a new chunk.
+    fn append(&self, bytes: &[u8], charge: Option<Charge>) {
+        let (mut chunks, mut segments) = (self.chunks.borrow_mut(), self.segments.borrow_mut());
+        match segments.back_mut().filter(|last| last.charge.is_none() && charge.is_none()) {
+            Some(last) => last.length += bytes.len(),
+            None => segments.push_back(Segment { length: bytes.len(), charge }),
+        }
+        match chunks.back_mut().filter(|last| last.len() + bytes.len() <= CHUNK_SIZE) {
+            Some(last) => last.extend_from_slice(bytes),
+            None => chunks.push_back(bytes.to_vec()),
+        }
         self.changed.notify_one();
     }
 
+    /// Returns whether too many bytes would be unsent if `added` bytes were queued.
+    fn exceeds_limits(&self, added: usize) -> bool {
+        let unsent = self.unsent.get() + added;
+        let is_over_guarantee = unsent > self.limits.guaranteed_unsent;
+        is_over_guarantee && (unsent > self.limits.max_unsent || !self.account.allows(added))
+    }
+
+    /// Returns for how long the connection may stay without progress, if so many bytes are unsent that
+    /// reading is paused.
+    fn reading_pause(&self) -> Option<Duration> {
+        match self.limits.overflow {
+            Overflow::PauseReading(stall_timeout) if self.exceeds_limits(0) => Some(stall_timeout),
+            _ => None,
+        }
+    }
+
+    /// Returns whether nothing is read because too many bytes are unsent.
+    pub fn is_reading_paused(&self) -> bool {
+        self.reading_pause().is_some()
+    }
+
     /// Closes the connection once the queued bytes have been written.
     pub fn close(&self, reason: CloseReason) {
         self.mark_closing(reason);
@@ -204,14 +270,25 @@
     /// Closes the connection at once and drops the queued bytes.
     fn abort(&self, reason: CloseReason) {
         self.is_finished.set(true);
-        self.account(0, self.bytes.take().len());
+        let dropped = self.chunks.take().iter().map(Vec::len).sum();
+        self.on_sent(dropped);
         self.close(reason);
     }
 
-    /// Counts bytes that were added to the unsent ones or removed from them, here and in the shared budget.
-    fn account(&self, added: usize, removed: usize) {
-        self.unsent.set(self.unsent.get() + added - removed);
-        self.budget.used.set(self.budget.used.get() + added - removed);
+    /// Records that bytes were written or dropped.
+    fn on_sent(&self, mut count: usize) {
+        let mut segments = self.segments.borrow_mut();
+        while let (true, Some(first)) = (count > 0, segments.front_mut()) {
+            let sent = count.min(first.length);
+            (count, first.length) = (count - sent, first.length - sent);
+            if first.charge.is_none() {
+                self.unsent.set(self.unsent.get() - sent);
+                self.account.give_back(sent);
+            }
+            if first.length == 0 {
+                segments.pop_front();
+            }
+        }
     }
 
     /// Returns why the connection has ended, given the result of [`run_connection`].
@@ -239,12 +316,6 @@
     }
 }
 
-impl Drop for WriteBuffer {
-    fn drop(&mut self) {
-        self.account(0, self.unsent.get());
-    }
-}
-
 /// Reads and writes until the peer closes, the socket fails, or the buffer is closed.
 ///
 /// Bytes that have arrived by then are still passed to `on_bytes`, and the bytes that it queues are written.
@@ -257,8 +328,16 @@
     on_bytes: impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> io::Result<()> {
     let (reader, writer) = stream.into_split();
-    let mut connection =
-        Connection { reader, writer, writes, on_bytes, is_reading: true, output: Vec::new(), written: 0 };
+    let mut connection = Connection {
+        reader,
+        writer,
+        writes,
+        on_bytes,
+        is_reading: true,
+        output: Vec::new(),
+        written: 0,
+        paused_since: None,
+    };
     let result = connection.run().await;
     writes.is_finished.set(true);
     result
@@ -276,94 +355,100 @@
     output: Vec<u8>,
     /// Number of bytes of `output` already written.
     written: usize,
+    /// Time since which reading has been paused and nothing has been written.
+    paused_since: Option<tokio::time::Instant>,
 }
 
 impl<F: FnMut(&[u8]) -> ControlFlow<()>> Connection<'_, F> {
     /// Reads and writes until the connection ends or the buffer is closed.
     async fn run(&mut self) -> io::Result<()> {
-        let mut input = vec![0; READ_SIZE];
         while self.writes.is_open() {
             self.take_queued();
+            let stalled_at = self.update_pause();
             tokio::select! {
-                read = self.reader.read(&mut input), if self.is_reading => {
-                    let n = read?;
-                    if n == 0 {
+                received = receive(&mut self.reader, &mut self.on_bytes),
+                    if self.is_reading && stalled_at.is_none() =>
+                {
+                    let Some(flow) = received? else {
                         self.try_flush();
                         return Ok(());
-                    }
-                    self.deliver(&input[..n]);
+                    };
+                    self.is_reading = flow.is_continue();
                 }
                 wrote = self.writer.write(&self.output[self.written..]), if self.has_output() => {
                     match wrote {
                         Ok(n) => self.on_written(n),
                         Err(e) => {
-                            self.read_available(&mut input);
+                            self.read_available();
                             return Err(e);
                         }
                     }
                 }
                 () = self.writes.changed.notified() => {}
+                () = sleep_until(stalled_at) => self.writes.abort(CloseReason::WriteBufferFull),
             }
         }
-        self.finish(&mut input).await
+        self.finish().await
+    }
+
+    /// Pauses reading while too many bytes are unsent. Returns when the connection is to be aborted if nothing
+    /// is written until then, or `None` if reading is not paused.
+    fn update_pause(&mut self) -> Option<tokio::time::Instant> {
+        let Some(stall_timeout) = self.writes.reading_pause() else {
+            self.paused_since = None;
+            return None;
+        };
+        Some(*self.paused_since.get_or_insert_with(tokio::time::Instant::now) + stall_timeout)
     }
 
     fn has_output(&self) -> bool {
         self.written < self.output.len()
     }
 
-    /// Takes the queued bytes as the next output, unless bytes of the last output are still unwritten.
+    /// Takes the next queued bytes as the output, unless bytes of the last output are still unwritten.
     fn take_queued(&mut self) {
         if self.has_output() {
             return;
         }
-        if self.output.capacity() > RETAINED_CAPACITY {
-            self.output = Vec::new();
-        }
-        self.output.clear();
+        self.output = self.writes.chunks.borrow_mut().pop_front().unwrap_or_default();
         self.written = 0;
-        std::mem::swap(&mut self.output, &mut self.writes.bytes.borrow_mut());
     }
 
     fn on_written(&mut self, n: usize) {
         self.written += n;
-        self.writes.account(0, n);
+        self.paused_since = None;
+        self.writes.on_sent(n);
     }
 
     /// Writes the queued bytes, reads the bytes that have arrived, and closes the connection. Bytes that
     /// arrive later have crossed the close.
-    async fn finish(&mut self, input: &mut [u8]) -> io::Result<()> {
+    async fn finish(&mut self) -> io::Result<()> {
         let limits = self.writes.limits;
         // A peer that does not read must not delay the close.
-        match tokio::time::timeout(limits.flush_timeout, self.flush_and_read_available(input)).await {
+        match tokio::time::timeout(limits.flush_timeout, self.flush_and_read_available()).await {
             Ok(flushed) => flushed?,
             Err(_) => return Ok(()),
         }
         self.writes.is_finished.set(true);
         self.writer.shutdown().await?;
         if self.writes.close_reason() != Some(CloseReason::Evicted) {
-            let _ = tokio::time::timeout(limits.linger, self.discard(input)).await;
+            let _ = tokio::time::timeout(limits.linger, self.discard()).await;
         }
         Ok(())
     }
 
     /// Writes the queued bytes and reads the bytes that have arrived, in turn, until none arrive or after
     /// `MAX_FINAL_READS` times.
-    async fn flush_and_read_available(&mut self, input: &mut [u8]) -> io::Result<()> {
+    async fn flush_and_read_available(&mut self) -> io::Result<()> {
         for _ in 0..MAX_FINAL_READS {
             self.flush().await?;
-            if !self.read_available(input) {
+            if !self.read_available() {
                 break;
             }
         }
         self.flush().await
     }
 
-    /// Passes bytes to `on_bytes`, which decides whether more are read.
-    fn deliver(&mut self, bytes: &[u8]) {
-        self.is_reading = (self.on_bytes)(bytes).is_continue();
-    }
-
     /// Writes the queued bytes as far as possible without waiting: the peer may have closed only its sending
     /// side.
     fn try_flush(&mut self) {
@@ -389,11 +474,12 @@
     }
 
     /// Delivers the bytes that have arrived, without waiting. Returns false if there are none.
-    fn read_available(&mut self, input: &mut [u8]) -> bool {
+    fn read_available(&mut self) -> bool {
         let mut has_read = false;
-        while let (true, Ok(n @ 1..)) = (self.is_reading, self.reader.try_read(input)) {
+        let mut input = [0; READ_SIZE];
+        while let (true, Ok(n @ 1..)) = (self.is_reading, self.reader.try_read(&mut input)) {
             has_read = true;
-            self.deliver(&input[..n]);
+            self.is_reading = (self.on_bytes)(&input[..n]).is_continue();
             if n < input.len() {
                 break;
             }
@@ -402,8 +488,34 @@
     }
 
     /// Reads and drops bytes until the peer closes its side.
-    async fn discard(&mut self, input: &mut [u8]) {
-        while let Ok(1..) = self.reader.read(input).await {}
+    async fn discard(&mut self) {
+        let mut input = [0; DISCARD_SIZE];
+        while let Ok(1..) = self.reader.read(&mut input).await {}
+    }
+}
+
+/// Waits for bytes and passes them to `on_bytes`. Returns its result, or `None` at the end of the stream.
+///
+/// The bytes are kept on the stack: a buffer in each task would be memory that idle connections hold.
+async fn receive(
+    reader: &mut OwnedReadHalf,
+    on_bytes: &mut impl FnMut(&[u8]) -> ControlFlow<()>,
+) -> io::Result<Option<ControlFlow<()>>> {
+    poll_fn(|context| {
+        let mut input = [0; READ_SIZE];
+        let mut buffer = ReadBuf::new(&mut input);
+        ready!(Pin::new(&mut *reader).poll_read(context, &mut buffer))?;
+        let bytes = buffer.filled();
+        Poll::Ready(Ok(if bytes.is_empty() { None } else { Some(on_bytes(bytes)) }))
+    })
+    .await
+}
+
+/// Waits until a time; for ever if there is none.
+async fn sleep_until(time: Option<tokio::time::Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
     }
 }
 
--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -1,6 +1,7 @@
 //! The client side of the call front end: handles SIP requests and the connections on which they arrive.
 
 use super::*;
+use crate::call::memory::REQUEST_OVERHEAD;
 
 impl Platform {
     /// Handles a message of a client.
@@ -68,7 +69,7 @@
         // An id is never reused. A set-up with the id of an open one is therefore either a repeat, which is
         // ignored, or belongs to someone else, and is rejected without affecting the first. Either way the
         // open set-up gets no second answer.
-        let open_call = self.core.calls.open.get(&id).map(|c| (c.origin.0, &*c.description == description));
+        let open_call = self.core.calls.open.get(&id).map(|c| (c.origin.0, c.has_description(description)));
         let open_invite = self.invites.get(&id).map(|i| (i.client, open_call.is_none_or(|c| c.1)));
         if let Some((origin, has_same_description)) = open_invite.or(open_call) {
             if origin == client && has_same_description {
@@ -85,11 +86,11 @@
             debug!(self.log, "destination unknown"; "call_id" => &*id.0, "place" => node.0);
             return self.reject(client, 404, &echoed, "destination unknown");
         }
-        // Limits the memory that a client can take by flooding one connection, and the delay for the others.
-        if self.clients.open_requests(client) >= MAX_SET_UPS_PER_CONNECTION {
+        let memory = REQUEST_OVERHEAD + description.len() + echoed.len() + offered.called_number.len();
+        if let Some(limit) = self.clients.request_limit(client, memory) {
             debug!(self.log, "request refused"; "call_id" => &*id.0, "connection_id" => client,
-                "reason" => "too many set-ups on the connection");
-            self.metrics.count_answer(503, "connection_full");
+                "reason" => limit.as_str());
+            self.metrics.count_answer(503, limit.as_str());
             return self.send_to_client(client, &sip::response(503, &echoed, self.hold_off, b""));
         }
         self.metrics.count_request();
@@ -97,7 +98,7 @@
             "class" => offered.class, "left_ms" => offered.remaining.as_millis(),
             "transit" => offered.is_transit);
         self.invites.insert(id.clone(), Invite { client, echoed_headers: echoed });
-        self.clients.begin_request(client, id);
+        self.clients.begin_request(client, id, memory);
         let request = Request { origin: Origin(client), offered, description: description.into() };
         match destination {
             Some(_) => self.core.handle_request(now, request),
@@ -232,8 +233,9 @@
         debug!(self.log, "request answered"; "call_id" => &*id.0, "connection_id" => invite.client,
             "status" => status, "reason" => reason);
         self.metrics.count_answer(status, reason);
-        self.send_to_client(invite.client, &sip::response(status, &invite.echoed_headers, hold_off, body));
-        self.take_invite(id);
+        let answer = sip::response(status, &invite.echoed_headers, hold_off, body);
+        self.clients.answer_request(invite.client, id, &answer);
+        self.invites.remove(id);
         true
     }
 
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -19,14 +19,16 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::call::budget::{Budget, BudgetLimits};
 use crate::call::calls::Origin;
 use crate::call::core::{Core, Effect, Reply, Request, CAUSE_NORMAL_CLEARING, CAUSE_TEMPORARY_FAILURE};
 use crate::call::exchanges::Exchanges;
+use crate::call::memory;
 use crate::interface::*;
 use crate::lifecycle::config::{Config, ListedExchange, MembershipUpdate};
 use crate::metrics::Metrics;
 use crate::net::connection::{
-    self, Clock, CloseReason, SharedWriteBuffer, TimerDriven, WriteBudget, WriteBuffer,
+    self, Clock, CloseReason, ConnectionLimits, SharedWriteBuffer, TimerDriven, WriteBuffer,
 };
 use crate::net::enumeration::{self, Resolution};
 use crate::net::exchange_pool::{ConnectFailure, ConnectionId, ExchangePool};
@@ -49,8 +51,6 @@
 /// Maximum number of times that a release is sent. The last time is 4.5 s after the first, since a release is
 /// due within 8 s.
 const MAX_RELEASE_SENDS: u32 = 5;
-/// Maximum number of open set-ups on one client connection.
-const MAX_SET_UPS_PER_CONNECTION: usize = 1024;
 /// Maximum number of circuits that one call may seize: more than any bearer service needs (H12, 30 channels).
 const MAX_CIRCUITS_PER_CALL: f64 = 64.0;
 /// Longest ring limit that a set-up may specify.
@@ -121,8 +121,12 @@
     is_draining: bool,
     /// Whether new requests are refused and the connections to exchanges have been closed for good.
     is_stopped: bool,
-    client_budget: Rc<WriteBudget>,
-    server_budget: Rc<WriteBudget>,
+    /// Buffers of all client connections: incomplete messages, and answers that are owed to no open request.
+    client_budget: Rc<Budget>,
+    /// Unsent bytes on all connections to exchanges and to the coordinator.
+    server_budget: Rc<Budget>,
+    client_limits: ConnectionLimits,
+    server_limits: ConnectionLimits,
     /// Hold-off in milliseconds for callers that are refused without a hold-off from the controller.
     hold_off: Option<u128>,
     /// ENUM front end that resolves numbers, if configured, and the share of a call's time that a look-up may
@@ -151,6 +155,9 @@
     /// Returns an error if the controller rejects the settings.
     pub fn new(config: &Config, log: Logger, clock: Clock) -> Result<Handle, SettingsError> {
         let (now, limits) = (clock.now(), &config.settings.limits);
+        let max_clients = max_client_connections(config);
+        let client_memory = memory::client_buffer_memory(config.memory_limit, max_clients);
+        let server_memory = memory::exchange_memory(config.memory_limit);
         let exchanges = Exchanges::with_nodes_of(&config.settings);
         let controller = Controller::new(config.settings.clone(), config.seed, now)?;
         let platform = Rc::new_cyclic(|weak_self| {
@@ -171,7 +178,10 @@
                     .min()
                     .unwrap_or_default(),
                 last_event: config.last_known_event,
-                clients: ClientConnections::new(max_client_connections(config)),
+                clients: ClientConnections::new(
+                    max_clients,
+                    memory::request_memory(config.memory_limit, max_clients),
+                ),
                 invites: HashMap::new(),
                 unconfirmed_releases: HashMap::new(),
                 queued_releases: VecDeque::new(),
@@ -179,8 +189,10 @@
                 last_connection_id: 0,
                 is_draining: false,
                 is_stopped: false,
-                client_budget: WriteBudget::new(connection::WRITE_BUDGET),
-                server_budget: WriteBudget::new(connection::WRITE_BUDGET),
+                client_budget: Budget::new(client_memory),
+                server_budget: Budget::new(server_memory),
+                client_limits: within_reserve(connection::CLIENT_LIMITS, client_memory),
+                server_limits: within_reserve(connection::SERVER_LIMITS, server_memory),
                 hold_off: limits.hold_off_allowed.then_some(limits.max_hold_off.as_millis()),
                 look_up: None,
                 started_at: now,
@@ -273,12 +285,12 @@
 
     /// Returns an empty write buffer for a client connection.
     pub(in crate::net) fn client_buffer(&self) -> SharedWriteBuffer {
-        Rc::new(WriteBuffer::new(connection::CLIENT_LIMITS, self.client_budget.clone()))
+        Rc::new(WriteBuffer::new(self.client_limits, self.client_budget.clone()))
     }
 
     /// Returns an empty write buffer for a connection to an exchange or to the coordinator.
     pub(in crate::net) fn server_buffer(&self) -> SharedWriteBuffer {
-        Rc::new(WriteBuffer::new(connection::SERVER_LIMITS, self.server_budget.clone()))
+        Rc::new(WriteBuffer::new(self.server_limits, self.server_budget.clone()))
     }
 
     /// Returns the connection pool of each exchange, for the console.
@@ -397,6 +409,12 @@
     }
 }
 
+/// Returns the limits of a connection whose guaranteed unsent bytes fit into its reserve of the memory.
+fn within_reserve(limits: ConnectionLimits, memory: BudgetLimits) -> ConnectionLimits {
+    let guaranteed_unsent = limits.guaranteed_unsent.min(memory.reserve_per_holder);
+    ConnectionLimits { guaranteed_unsent, ..limits }
+}
+
 /// Returns the number of client connections that the limit on descriptors allows.
 fn max_client_connections(config: &Config) -> usize {
     (config.max_sockets as f64 * CLIENT_CONNECTIONS_SHARE) as usize
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -116,13 +116,17 @@
 /// Reads and writes on a client connection until it ends.
 async fn run_client(platform: Handle, client: u64, stream: TcpStream, writes: SharedWriteBuffer) {
     let mut decoder = sip::Decoder::default();
+    let mut charged_bytes = 0;
     let result = connection::run_connection(stream, &writes, |bytes| {
         decoder.feed(bytes);
         loop {
             match decoder.next_message() {
                 Ok(Some(message)) => platform.borrow_mut().on_client_message(client, message),
                 Ok(None) => {
-                    platform.borrow_mut().on_client_read(client, decoder.has_partial_message());
+                    let buffered_bytes = decoder.buffered_bytes();
+                    writes.account().give_back(std::mem::replace(&mut charged_bytes, buffered_bytes));
+                    writes.account().take(buffered_bytes);
+                    platform.borrow_mut().on_client_read(client, buffered_bytes > 0);
                     return ControlFlow::Continue(());
                 }
                 Err(e) => {
--- a/src/protocol/sip.rs
+++ b/src/protocol/sip.rs
@@ -6,6 +6,9 @@
 /// Maximum message size in bytes, headers and body together.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
 
+/// Capacity in bytes that an empty decoder keeps.
+const RETAINED_CAPACITY: usize = 2 * 1024;
+
 /// Start line of a message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StartLine {
@@ -74,12 +77,21 @@
 impl Decoder {
     /// Appends received bytes.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.bytes.reserve_exact(bytes.len());
         self.bytes.extend_from_slice(bytes);
     }
 
-    /// Returns whether bytes of an incomplete message are buffered.
-    pub fn has_partial_message(&self) -> bool {
-        !self.bytes.is_empty()
+    /// Returns the number of buffered bytes. Once no complete message is left, they are those of an incomplete
+    /// one.
+    pub fn buffered_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Frees the memory of messages that have been taken.
+    fn release_memory(&mut self) {
+        if self.bytes.is_empty() && self.bytes.capacity() > RETAINED_CAPACITY {
+            self.bytes = Vec::new();
+        }
     }
 
     /// Returns the next message, or `None` if it has not arrived completely.
@@ -95,6 +107,7 @@
         let found = self.bytes[self.search_from..].windows(4).position(|w| w == b"\r\n\r\n");
         let Some(head_length) = found.map(|at| at + self.search_from) else {
             self.search_from = self.bytes.len().saturating_sub(3);
+            self.release_memory();
             return if self.bytes.len() > MAX_MESSAGE_BYTES { Err(too_large) } else { Ok(None) };
         };
         let bad_request = |reason| MalformedMessage { status: 400, reason };
--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -9,13 +9,19 @@
 use std::time::{Duration, Instant};
 
 use harness::*;
+use quartzspindle::call::budget::{Budget, BudgetLimits};
 use quartzspindle::net::client_connections::ClientConnections;
-use quartzspindle::net::connection::{WriteBudget, WriteBuffer, CLIENT_LIMITS};
+use quartzspindle::net::connection::{WriteBuffer, CLIENT_LIMITS};
 use rstest::rstest;
 
 /// Time within which a faulty client must be answered or disconnected.
 const RESPONSE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Returns a budget of 1,000 bytes without reserves.
+fn small_budget() -> Rc<Budget> {
+    Budget::new(BudgetLimits { shared: 1000, preferred: 0, reserve_per_holder: 0, free_multiple: 1 })
+}
+
 fn start_router() -> (Exchange, Router, Client) {
     let exchange = Exchange::start();
     let router = Router::start(&router_config(&[exchange.address]));
@@ -105,8 +111,11 @@
 /// it is a different message every time.
 #[test]
 fn only_a_single_message_that_stays_incomplete_is_overdue() {
-    let mut clients = ClientConnections::new(4);
-    clients.admit(Duration::ZERO, 1, Rc::new(WriteBuffer::new(CLIENT_LIMITS, WriteBudget::new(1000))));
+    let mut clients = ClientConnections::new(
+        4,
+        BudgetLimits { shared: 1000, preferred: 0, reserve_per_holder: 0, free_multiple: 1 },
+    );
+    clients.admit(Duration::ZERO, 1, Rc::new(WriteBuffer::new(CLIENT_LIMITS, small_budget())));
     for n in 1..50 {
         let now = Duration::from_millis(100 * n);
         clients.on_message(now, 1);
--- a/tests/exchange_pool.rs
+++ b/tests/exchange_pool.rs
@@ -3,21 +3,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use quartzspindle::call::budget::{Budget, BudgetLimits};
 use quartzspindle::interface::CallId;
-use quartzspindle::net::connection::{WriteBudget, WriteBuffer, SERVER_LIMITS};
+use quartzspindle::net::connection::{WriteBuffer, SERVER_LIMITS};
 use quartzspindle::net::exchange_pool::{ConnectFailure, ConnectionId, ExchangePool};
 
+/// Returns a budget of 1,000 bytes without reserves.
+fn small_budget() -> Rc<Budget> {
+    Budget::new(BudgetLimits { shared: 1000, preferred: 0, reserve_per_holder: 0, free_multiple: 1 })
+}
+
 const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
 fn connected_pool() -> ExchangePool {
     let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
-    pool.on_connected(
-        ms(1000),
-        ConnectionId(1),
-        Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000))),
-    );
+    pool.on_connected(ms(1000), ConnectionId(1), Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget())));
     pool
 }
 
@@ -62,8 +64,8 @@
 fn a_connection_without_the_group_states_that_others_receive_is_closed() {
     let mut pool = connected_pool();
     let buffers = [
-        Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000))),
-        Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000))),
+        Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget())),
+        Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget())),
     ];
     pool.on_connected(ms(1500), ConnectionId(2), buffers[0].clone());
     pool.on_connected(ms(1500), ConnectionId(3), buffers[1].clone());
@@ -88,33 +90,25 @@
 #[test]
 fn after_a_connection_ends_another_is_opened_for_the_releases_lost_on_it() {
     let mut pool = connected_pool();
-    pool.on_connected(
-        ms(1000),
-        ConnectionId(2),
-        Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000))),
-    );
+    pool.on_connected(ms(1000), ConnectionId(2), Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget())));
     assert!(!pool.should_connect(ms(1100), false));
     pool.on_closed(ms(1200), ConnectionId(1));
     assert!(!pool.should_connect(ms(1400), false) && pool.should_connect(ms(1450), false));
-    pool.on_connected(
-        ms(1460),
-        ConnectionId(3),
-        Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000))),
-    );
+    pool.on_connected(ms(1460), ConnectionId(3), Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget())));
     assert!(!pool.should_connect(ms(9000), false));
     for id in 4..6 {
         assert!(pool.make_room());
         pool.on_connected(
             ms(1500),
             ConnectionId(id),
-            Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000))),
+            Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget())),
         );
     }
     assert!(!pool.make_room() && pool.open_connections() == 4);
 }
 
 fn buffer() -> Rc<WriteBuffer> {
-    Rc::new(WriteBuffer::new(SERVER_LIMITS, WriteBudget::new(1000)))
+    Rc::new(WriteBuffer::new(SERVER_LIMITS, small_budget()))
 }
 
 /// Guards against connections to a removed exchange that count towards the limit of four of the exchange that
