Drop timers, numbers and ids of requests that are over instead of keeping them for minutes

Ruled out: open requests (none was open any more), ids of ended calls (32,768 at most). Kept were: the timer of the deadline and that of each attempt (TimerQueue::schedule in src/call/core.rs, which nothing took back); the controller's timers and call_timers in src/policy/mod.rs, until hold_until; the called numbers of calls that may be redialled (redials), without a limit and up to 16 KiB each. The ids of refused requests pushed those of released calls out of Calls::ended, so that a message of an exchange for one of them was taken for a call from before the start.

Change: a call's timers are cancelled when it is established or over; Action::CancelTimer tells the host, and the adapter ignores it, since the simulator takes no timer back. Numbers are remembered by a hash that is the same in each process, 20,000 at most for redials. Ids of calls that were never sent to an exchange have a limit of their own.

--- a/src/bin/quartzspindle-adapter/main.rs
+++ b/src/bin/quartzspindle-adapter/main.rs
@@ -101,7 +101,7 @@
 ) -> Result<(), String> {
     let mut actions: Vec<Action> = Vec::new();
     let result = catch_unwind(AssertUnwindSafe(|| controller.handle(now, event, &mut actions)));
-    orders.extend(actions.into_iter().map(|action| wire::encode_order(name, action)));
+    orders.extend(actions.into_iter().filter_map(|action| wire::encode_order(name, action)));
     result.map_err(|payload| {
         let text = payload.downcast_ref::<&str>().map(|s| (*s).to_owned());
         text.or_else(|| payload.downcast_ref::<String>().cloned()).unwrap_or_else(|| "panic".to_owned())
--- a/src/bin/quartzspindle-adapter/wire.rs
+++ b/src/bin/quartzspindle-adapter/wire.rs
@@ -491,8 +491,9 @@
     u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
 }
 
-/// Returns the order for an action of the instance `name`.
-pub fn encode_order(name: &str, action: Action) -> Value {
+/// Returns the order for an action of the instance `name`; `None` for an action that the simulator has no order
+/// for.
+pub fn encode_order(name: &str, action: Action) -> Option<Value> {
     let mut order = match action {
         Action::SendSetUp { call, exchange, give_up_at } => {
             json!({
@@ -509,11 +510,12 @@
         Action::StartTimer { after, token } => {
             json!({"op": "Sleep", "InNs": to_nanos(after), "Token": token.0})
         }
+        Action::CancelTimer(_) => return None,
         Action::Probe(exchange) => json!({"op": "Check", "Exchange": *exchange.0}),
         Action::Broadcast(payload) => json!({"op": "Share", "Dst": "*", "Payload": payload}),
         Action::Subscribe => json!({"op": "Track", "Enable": true}),
         Action::Log(line) => json!({"op": "Trace", "Line": line}),
     };
     order["SoftswitchId"] = Value::from(name);
-    order
+    Some(order)
 }
--- a/src/call/calls.rs
+++ b/src/call/calls.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::timers::TimerKey;
 use crate::interface::{CallId, ExchangeId};
 
 /// Source of a request; the front end assigns the number.
@@ -57,6 +58,10 @@
     pub attempt: Option<Attempt>,
     /// Set once an exchange has answered: the call is established.
     pub is_established: bool,
+    /// Timer of the deadline, while the request is unanswered.
+    pub deadline_timer: Option<TimerKey>,
+    /// Timer of the pending attempt.
+    pub attempt_timer: Option<TimerKey>,
 }
 
 impl Call {
@@ -68,44 +73,85 @@
 
 /// Time for which the id of an ended call is kept, so that messages arriving late for it are recognized.
 const ENDED_CALL_RETENTION: Duration = Duration::from_secs(15);
-/// Largest number of such ids; beyond it the oldest are dropped.
+/// Largest number of such ids whose calls exchanges may still send messages for; beyond it the oldest are
+/// dropped.
 const MAX_ENDED_CALLS: usize = 32_768;
+/// Largest number of such ids whose calls were never sent to an exchange. They are limited apart, so that a
+/// flood of requests that are refused or withdrawn can't displace the others.
+const MAX_ENDED_UNSENT_CALLS: usize = 8192;
+
+/// Ids of calls that ended recently.
+#[derive(Debug)]
+struct EndedCalls {
+    max_ids: usize,
+    /// Ids with the time of their end.
+    ended_at: HashMap<CallId, Duration>,
+    /// The same ids, earliest end first; an id that ended twice is listed twice.
+    by_time: VecDeque<(Duration, CallId)>,
+}
+
+impl EndedCalls {
+    fn new(max_ids: usize) -> Self {
+        Self { max_ids, ended_at: HashMap::new(), by_time: VecDeque::new() }
+    }
+
+    /// Adds an id and drops ids that are too old or too many.
+    fn insert(&mut self, id: &CallId, now: Duration) {
+        self.ended_at.insert(id.clone(), now);
+        self.by_time.push_back((now, id.clone()));
+        let is_expired = |(ended_at, _): &(Duration, CallId)| *ended_at + ENDED_CALL_RETENTION < now;
+        while self.by_time.len() > self.max_ids || self.by_time.front().is_some_and(is_expired) {
+            let Some((ended_at, expired)) = self.by_time.pop_front() else { break };
+            if self.ended_at.get(&expired) == Some(&ended_at) {
+                self.ended_at.remove(&expired);
+            }
+        }
+    }
+}
 
 /// All open calls and the ids of calls that ended recently.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Calls {
     /// Open calls by id.
     pub open: HashMap<CallId, Call>,
-    /// Ids of ended calls with the time of their end.
-    ended: HashMap<CallId, Duration>,
-    /// The same ids, earliest end first; an id that ended twice is listed twice.
-    ended_by_time: VecDeque<(Duration, CallId)>,
+    /// Calls that were sent to an exchange, or that an exchange has named.
+    ended: EndedCalls,
+    /// Calls that no exchange knows of.
+    ended_unsent: EndedCalls,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            open: HashMap::new(),
+            ended: EndedCalls::new(MAX_ENDED_CALLS),
+            ended_unsent: EndedCalls::new(MAX_ENDED_UNSENT_CALLS),
+        }
+    }
 }
 
 impl Calls {
     /// Removes an open call and keeps its id as ended for a while; returns the call.
+    ///
+    /// An id that is not open is kept as well: its call may be older than this process.
     pub fn end(&mut self, id: &CallId, now: Duration) -> Option<Call> {
-        self.mark_ended(id, now);
-        self.open.remove(id)
+        let call = self.open.remove(id);
+        if call.as_ref().is_some_and(|call| call.attempts_made > 0) {
+            self.ended.insert(id, now);
+        } else {
+            self.ended_unsent.insert(id, now);
+        }
+        call
     }
 
-    /// Keeps an id as ended and drops ids that are too old or too many.
+    /// Keeps the id of a call as ended that an exchange has named.
     pub fn mark_ended(&mut self, id: &CallId, now: Duration) {
-        self.ended.insert(id.clone(), now);
-        self.ended_by_time.push_back((now, id.clone()));
-        while self.ended_by_time.len() > MAX_ENDED_CALLS
-            || self.ended_by_time.front().is_some_and(|(ended_at, _)| *ended_at + ENDED_CALL_RETENTION < now)
-        {
-            let Some((ended_at, expired)) = self.ended_by_time.pop_front() else { break };
-            if self.ended.get(&expired) == Some(&ended_at) {
-                self.ended.remove(&expired);
-            }
-        }
+        self.ended.insert(id, now);
     }
 
     /// Returns `true` if a call with this id ended recently.
     pub fn has_ended(&self, id: &CallId) -> bool {
-        self.ended.contains_key(id)
+        self.ended.ended_at.contains_key(id) || self.ended_unsent.ended_at.contains_key(id)
     }
 
     /// Number of requests without a final answer.
--- a/src/call/core.rs
+++ b/src/call/core.rs
@@ -4,13 +4,13 @@
 //! opens no sockets and reads no clock: each method takes the current time, and the resulting work is
 //! collected as [`Effect`]s for a front end to carry out.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::calls::{hash_description, Attempt, Call, Calls, Origin, SetUpText};
 use super::exchanges::Exchanges;
-use super::timers::TimerQueue;
+use super::timers::{TimerKey, TimerQueue};
 use crate::interface::{
     Action, AttemptStatus, CallId, Event, ExchangeId, FailureCause, Member, OfferedCall, Outcome, TimerToken,
     UpdateKind,
@@ -146,6 +146,8 @@
     /// Listed exchanges.
     pub exchanges: Exchanges,
     timers: TimerQueue<Timer>,
+    /// Timers that the controller has started and that have not expired.
+    controller_timers: HashMap<TimerToken, TimerKey>,
     /// Events that the controller has not handled yet.
     events: VecDeque<Event>,
     /// Effects that the front end has not taken yet.
@@ -162,6 +164,7 @@
             calls: Calls::default(),
             exchanges,
             timers: TimerQueue::default(),
+            controller_timers: HashMap::new(),
             events: VecDeque::new(),
             effects: Vec::new(),
             now,
@@ -239,7 +242,8 @@
             return self.effects.push(Effect::Refuse { origin: request.origin, call: id, hold_off: None });
         }
         let deadline = self.now + offered.remaining;
-        self.timers.schedule(deadline + DEADLINE_GRACE, Timer::RequestDeadline(id.clone()));
+        let deadline_timer =
+            self.timers.schedule(deadline + DEADLINE_GRACE, Timer::RequestDeadline(id.clone()));
         let call = Call {
             origin: request.origin,
             class: offered.class,
@@ -252,6 +256,8 @@
             attempts_made: 0,
             attempt: None,
             is_established: false,
+            deadline_timer: Some(deadline_timer),
+            attempt_timer: None,
         };
         self.calls.open.insert(id, call);
         self.events.push_back(Event::CallOffered(offered));
@@ -265,7 +271,7 @@
         if !known && self.calls.has_ended(id) {
             return;
         }
-        let call = self.calls.end(id, self.now);
+        let call = self.end_call(id);
         let attempt = call.as_ref().and_then(|c| c.attempt.clone());
         if attempt.is_some() || !known {
             // For a call from before a restart the exchange is unknown, so the release goes to all of them.
@@ -293,6 +299,9 @@
                     return;
                 }
                 call.set_up = None;
+                for timer in [call.deadline_timer.take(), call.attempt_timer.take()].into_iter().flatten() {
+                    self.timers.cancel(timer);
+                }
                 let Some(attempt) = call.attempt.clone() else { return };
                 let origin = call.origin;
                 self.effects.push(Effect::Answer { origin, call: id.clone(), description });
@@ -317,6 +326,7 @@
             }
             (Some(call), Reply::Ended { status, failure_cause, load_report }) => {
                 let Some(attempt) = call.attempt.take() else { return };
+                call.attempt_timer.take().into_iter().for_each(|timer| self.timers.cancel(timer));
                 let was_established = call.is_established;
                 if was_established {
                     let origin = Some(call.origin);
@@ -326,7 +336,7 @@
                         CAUSE_TEMPORARY_FAILURE
                     };
                     self.effects.push(Effect::ReleaseAtClient { origin, call: id.clone(), cause });
-                    self.calls.end(id, self.now);
+                    self.end_call(id);
                 }
                 self.queue_outcome(id, &attempt, status, failure_cause, load_report, was_established);
             }
@@ -367,7 +377,10 @@
         self.advance_clock(now);
         while let Some(due) = self.timers.pop_due(self.now) {
             match due {
-                Timer::Controller(token) => self.events.push_back(Event::TimerExpired(token)),
+                Timer::Controller(token) => {
+                    self.controller_timers.remove(&token);
+                    self.events.push_back(Event::TimerExpired(token));
+                }
                 Timer::AttemptTimeout(id, number) => self.time_out_attempt(&id, number),
                 Timer::RequestDeadline(id) => self.fail_unanswered(&id),
             }
@@ -401,7 +414,7 @@
         if self.calls.open.get(id).is_none_or(|c| c.is_established) {
             return;
         }
-        let Some(call) = self.calls.end(id, self.now) else { return };
+        let Some(call) = self.end_call(id) else { return };
         if let Some(attempt) = &call.attempt {
             self.release_attempt(id, attempt);
         }
@@ -409,6 +422,20 @@
         self.events.push_back(Event::CallAbandoned(id.clone()));
     }
 
+    /// Removes a call that is over, with its timers, and keeps its id as ended for a while; returns the call.
+    fn end_call(&mut self, id: &CallId) -> Option<Call> {
+        let mut call = self.calls.end(id, self.now)?;
+        for timer in [call.deadline_timer.take(), call.attempt_timer.take()].into_iter().flatten() {
+            self.timers.cancel(timer);
+        }
+        Some(call)
+    }
+
+    /// Returns the number of timers that have not expired.
+    pub fn pending_timers(&self) -> usize {
+        self.timers.len()
+    }
+
     /// Abandons a pending attempt at its exchange.
     fn release_attempt(&mut self, id: &CallId, attempt: &Attempt) {
         let exchange = Some(attempt.exchange.clone());
@@ -459,14 +486,20 @@
             }
             Action::Cancel { call, attempt_number: number } => {
                 let open = self.calls.open.get_mut(&call).filter(|c| !c.is_established);
-                let Some(attempt) = open.and_then(|c| c.attempt.take_if(|a| a.number == number)) else {
-                    return;
-                };
+                let Some(open) = open else { return };
+                let Some(attempt) = open.attempt.take_if(|a| a.number == number) else { return };
+                open.attempt_timer.take().into_iter().for_each(|timer| self.timers.cancel(timer));
                 self.release_attempt(&call, &attempt);
                 self.queue_outcome(&call, &attempt, AttemptStatus::Cancelled, None, Vec::new(), false);
             }
             Action::StartTimer { after, token } => {
-                self.timers.schedule(self.now + after, Timer::Controller(token))
+                let key = self.timers.schedule(self.now + after, Timer::Controller(token));
+                self.controller_timers.insert(token, key);
+            }
+            Action::CancelTimer(token) => {
+                if let Some(key) = self.controller_timers.remove(&token) {
+                    self.timers.cancel(key);
+                }
             }
             Action::Broadcast(text) => self.effects.push(Effect::Broadcast(text)),
             Action::Log(line) => self.effects.push(Effect::Log(line)),
@@ -480,7 +513,7 @@
     /// Returns `None` if the call is not open or has been answered.
     fn end_unanswered(&mut self, id: &CallId) -> Option<Call> {
         self.calls.open.get(id).filter(|c| !c.is_established)?;
-        let call = self.calls.end(id, self.now)?;
+        let call = self.end_call(id)?;
         if let Some(attempt) = &call.attempt {
             self.release_attempt(id, attempt);
         }
@@ -500,7 +533,8 @@
         else {
             return self.queue_outcome(id, &attempt, AttemptStatus::Moot, None, Vec::new(), false);
         };
-        self.timers.schedule(give_up_at, Timer::AttemptTimeout(id.clone(), attempt.number));
+        let timer = Timer::AttemptTimeout(id.clone(), attempt.number);
+        call.attempt_timer = Some(self.timers.schedule(give_up_at, timer));
         call.attempt = Some(attempt);
         self.effects.push(Effect::SendSetUp {
             exchange,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -403,6 +403,9 @@
         /// Token of [`Event::TimerExpired`].
         token: TimerToken,
     },
+    /// Cancels a timer that has not expired, since its call is over. A host that can't take timers back may
+    /// ignore this; the timer has no effect then.
+    CancelTimer(TimerToken),
     /// Probes an exchange.
     Probe(ExchangeId),
     /// Sends a message to all other controllers.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,6 +18,7 @@
 mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,6 +65,8 @@
 const MAX_BUSY_NUMBER_PAUSE: f64 = 8.0;
 /// Largest number of busy numbers that are remembered.
 const MAX_BUSY_NUMBERS: usize = 256;
+/// Largest number of called numbers that are remembered to recognize redials.
+const MAX_REDIALS: usize = 20_000;
 /// An allowed rate below this share of the best one reported means that the processor is overloaded.
 const LOW_ALLOWED_RATE: f64 = 0.25;
 /// An allowed rate above this share of the best one reported means that the processor has spare capacity.
@@ -132,6 +135,19 @@
     sent_rate: f64,
 }
 
+/// Hash of a called number, under which it is remembered: the text itself may be as long as a message. It is
+/// the same in each process, so that the same events give the same actions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct NumberKey(u64);
+
+impl NumberKey {
+    fn new(number: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        number.hash(&mut hasher);
+        Self(hasher.finish())
+    }
+}
+
 /// The outstanding attempt of a call, or the one that established it.
 #[derive(Debug)]
 struct Attempt {
@@ -148,7 +164,12 @@
 /// A call without a final answer, or an established one.
 #[derive(Debug)]
 struct Call {
-    offered: OfferedCall,
+    /// Called number.
+    number: NumberKey,
+    /// Destination node, or the pool of first choice.
+    destination: NodeNumber,
+    /// Whether the call is in transit: it is sent to its destination or refused, and over no other tandem.
+    is_transit: bool,
     /// Index of the class, limited to the classes of the settings.
     class: usize,
     /// Circuits that the call seizes.
@@ -174,6 +195,8 @@
     blocking_recorded: bool,
     /// Nodes to which the call has been sent since its last pause.
     tried_nodes: Vec<NodeNumber>,
+    /// Timers of the call that have not expired.
+    timers: Vec<TimerToken>,
 }
 
 impl Call {
@@ -218,13 +241,13 @@
     /// Safe rate in the last log line about it.
     logged_safe_rate: Option<f64>,
     /// Called numbers of calls that ended without being established, with the time of the first try.
-    redials: BTreeMap<Arc<str>, f64>,
+    redials: BTreeMap<NumberKey, f64>,
     exchanges: BTreeMap<ExchangeId, Exchange>,
     nodes: BTreeMap<NodeNumber, NodeState>,
     calls: BTreeMap<CallId, Call>,
     call_timers: BTreeMap<TimerToken, CallId>,
     /// Numbers that were busy, each with the length and the end of its last pause.
-    busy_numbers: BTreeMap<Arc<str>, (f64, f64)>,
+    busy_numbers: BTreeMap<NumberKey, (f64, f64)>,
     /// Token of the next call timer.
     next_timer: u64,
     lines_logged: usize,
@@ -297,7 +320,7 @@
                 self.send_held_calls(actions);
             }
             Event::CallAbandoned(id) => {
-                let Some(call) = self.calls.remove(&id) else { return };
+                let Some(call) = self.remove_call(&id, actions) else { return };
                 self.remember_for_redial(&call);
                 if let Some(attempt) = call.attempt.filter(|a| a.counted_in_window && !call.is_established) {
                     self.remove_from_windows(attempt.node, self.now - attempt.sent_at);
@@ -316,8 +339,9 @@
                 });
             }
             Event::TimerExpired(token) => {
-                if let Some(call) = self.call_timers.remove(&token) {
-                    self.dispatch(&call, actions);
+                if let Some(id) = self.call_timers.remove(&token) {
+                    self.calls.get_mut(&id).into_iter().for_each(|call| call.timers.retain(|t| *t != token));
+                    self.dispatch(&id, actions);
                 }
             }
         }
@@ -439,10 +463,10 @@
     /// Without this, a late redial would be taken to have its full value, and a first call with little time
     /// left would be taken to be late. The drawback: of many callers of one number, some are taken for the
     /// redial of another and so count as late.
-    fn first_dialled_at(&mut self, offered: &OfferedCall) -> f64 {
+    fn first_dialled_at(&mut self, offered: &OfferedCall, number: NumberKey) -> f64 {
         let first = self
             .redials
-            .remove(&offered.called_number)
+            .remove(&number)
             .filter(|_| offered.flagged_as_redial || !self.settings.redials_flagged);
         first.filter(|_| !offered.is_reconnect && !offered.is_transit).unwrap_or(self.now)
     }
@@ -454,14 +478,18 @@
             return;
         }
         let (id, deadline) = (offered.call.clone(), self.now + offered.remaining.as_secs_f64());
-        let (class, first_dialled_at) =
-            (offered.class.min(self.settings.classes.len() - 1), self.first_dialled_at(&offered));
+        let (class, number) =
+            (offered.class.min(self.settings.classes.len() - 1), NumberKey::new(&offered.called_number));
+        let first_dialled_at = self.first_dialled_at(&offered, number);
         let class_settings = &self.settings.classes[class];
         // The final answer of a held call is due two ticks before its deadline; a call in transit is not
         // held.
         let hold_until =
             if offered.is_transit { self.now } else { deadline - 2.0 * self.settings.tick.as_secs_f64() };
         let call = Call {
+            number,
+            destination: offered.destination,
+            is_transit: offered.is_transit,
             class,
             circuits: f64::from(offered.circuits.unwrap_or(class_settings.circuits).max(1)),
             deadline,
@@ -475,15 +503,12 @@
             is_established: false,
             blocking_recorded: false,
             tried_nodes: Vec::new(),
-            offered,
+            timers: Vec::new(),
         };
-        if let Some(via) =
-            call.offered.via.filter(|_| self.settings.has_route_advice && !call.offered.is_transit)
-        {
+        if let Some(via) = offered.via.filter(|_| self.settings.has_route_advice && !call.is_transit) {
             // The routing advice found free circuits over this tandem, so it is treated like one that has
             // established a call, unless it is paused.
-            let tandem =
-                self.nodes.entry(call.offered.destination).or_default().tandems.entry(via).or_default();
+            let tandem = self.nodes.entry(call.destination).or_default().tandems.entry(via).or_default();
             *tandem = if self.now > tandem.1 { (0.0, 0.0) } else { *tandem };
         }
         self.calls.insert(id.clone(), call);
@@ -495,15 +520,32 @@
     fn start_call_timer(&mut self, at: f64, id: &CallId, actions: &mut Vec<Action>) {
         let after = Duration::from_secs_f64((at - self.now).max(0.0) + 0.001);
         let token = TimerToken(self.next_timer);
+        let Some(call) = self.calls.get_mut(id) else { return };
+        call.timers.push(token);
         self.next_timer += 1;
         self.call_timers.insert(token, id.clone());
         actions.push(Action::StartTimer { after, token });
     }
 
+    /// Removes a call that is over, with its timers: a call may be over long before they would expire.
+    fn remove_call(&mut self, id: &CallId, actions: &mut Vec<Action>) -> Option<Call> {
+        self.cancel_timers(id, actions);
+        self.calls.remove(id)
+    }
+
+    /// Cancels the timers of a call.
+    fn cancel_timers(&mut self, id: &CallId, actions: &mut Vec<Action>) {
+        let timers = self.calls.get_mut(id).map(|call| std::mem::take(&mut call.timers));
+        for token in timers.unwrap_or_default() {
+            self.call_timers.remove(&token);
+            actions.push(Action::CancelTimer(token));
+        }
+    }
+
     /// Returns whether a call sent now would be established only after its latency objective, judging by
     /// recent set-up times of its destination.
     fn is_late(&self, call: &Call) -> bool {
-        self.now + self.nodes.get(&call.offered.destination).map_or(0.0, |s| s.set_up_time)
+        self.now + self.nodes.get(&call.destination).map_or(0.0, |s| s.set_up_time)
             > call.first_dialled_at + call.latency_objective
     }
 
@@ -513,15 +555,15 @@
     /// processor, and only enough are sent to find out whether a line is free. It should work likewise for
     /// any number that cannot be reached. The drawback: a line that becomes free is unused until the end of
     /// the pause, 4 s at most.
-    fn record_number_state(&mut self, number: &Arc<str>, is_busy: bool) {
+    fn record_number_state(&mut self, number: NumberKey, is_busy: bool) {
         if !is_busy {
-            self.busy_numbers.remove(number);
-        } else if self.busy_numbers.len() < MAX_BUSY_NUMBERS || self.busy_numbers.contains_key(number) {
+            self.busy_numbers.remove(&number);
+        } else if self.busy_numbers.len() < MAX_BUSY_NUMBERS || self.busy_numbers.contains_key(&number) {
             let (first_pause, max_pause) =
                 (BUSY_NUMBER_PAUSE * self.base_interval, MAX_BUSY_NUMBER_PAUSE * self.base_interval);
             let pause =
-                self.busy_numbers.get(number).map_or(first_pause, |(pause, _)| (2.0 * pause).min(max_pause));
-            self.busy_numbers.insert(number.clone(), (pause, self.now + pause));
+                self.busy_numbers.get(&number).map_or(first_pause, |(pause, _)| (2.0 * pause).min(max_pause));
+            self.busy_numbers.insert(number, (pause, self.now + pause));
         }
     }
 
@@ -553,15 +595,15 @@
         if !call.is_ready_to_send(self.now) {
             return self.cancel_if_overdue(id, actions);
         }
-        let destination_state = self.nodes.get(&call.offered.destination);
-        let is_late = !call.offered.is_transit && self.is_late(call);
+        let destination_state = self.nodes.get(&call.destination);
+        let is_late = !call.is_transit && self.is_late(call);
         // In a mesh every route ends at the destination; with pools another pool may take the call.
         let is_reachable = destination_state.is_none_or(|s| s.window.is_open(self.now, is_late));
-        let is_reachable = is_reachable && self.exchange_in_service(call.offered.destination).is_some();
+        let is_reachable = is_reachable && self.exchange_in_service(call.destination).is_some();
         let is_number_paused =
-            self.busy_numbers.get(&call.offered.called_number).is_some_and(|(_, until)| self.now < *until);
+            self.busy_numbers.get(&call.number).is_some_and(|(_, until)| self.now < *until);
         let is_locally_allowed =
-            call.offered.is_transit || (!is_number_paused && self.local_window.is_open(self.now, is_late));
+            call.is_transit || (!is_number_paused && self.local_window.is_open(self.now, is_late));
         if (is_reachable || self.own_node().is_none())
             && is_locally_allowed
             && (call.attempts_made > 0 || self.admission.has_capacity())
@@ -578,7 +620,7 @@
         let is_late = self.calls.get(id).is_some_and(|c| self.is_late(c));
         let Some(call) = self.calls.get_mut(id) else { return };
         let (destination, circuits, is_transit, hold_until) =
-            (call.offered.destination, call.circuits, call.offered.is_transit, call.hold_until);
+            (call.destination, call.circuits, call.is_transit, call.hold_until);
         let (is_first_try, tried_nodes) =
             (!std::mem::replace(&mut call.blocking_recorded, true), call.tried_nodes.clone());
         // When a router is down, its calls arrive at the other routers, and so also at the router of the
@@ -621,15 +663,15 @@
     /// Returns the tandems over which a call may be sent now. If there are tandems whose last call to the
     /// destination was established, only those are returned.
     fn candidate_tandems(&self, id: &CallId, tried_nodes: &[NodeNumber]) -> Vec<NodeNumber> {
-        let found = self.calls.get(id).and_then(|c| self.nodes.get(&c.offered.destination).map(|s| (c, s)));
+        let found = self.calls.get(id).and_then(|c| self.nodes.get(&c.destination).map(|s| (c, s)));
         let Some((call, destination_state)) = found else { return Vec::new() };
-        if tried_nodes.iter().filter(|n| **n != call.offered.destination).count() >= MAX_TANDEMS {
+        if tried_nodes.iter().filter(|n| **n != call.destination).count() >= MAX_TANDEMS {
             return Vec::new();
         }
         let reserved = RESERVED_CIRCUITS + RESERVED_CIRCUITS_PER_BLOCKING * destination_state.blocking;
         let class = &self.settings.classes[call.class];
         let is_candidate = |node: &NodeNumber, state: &NodeState| {
-            *node != call.offered.destination
+            *node != call.destination
                 && Some(*node) != self.own_node()
                 && !tried_nodes.contains(node)
                 && state.free_circuits.is_some_and(|free| free >= call.circuits + reserved)
@@ -664,8 +706,7 @@
         let is_not_ready = !call.is_ready_to_send(self.now); // rules 2 and 5
         let is_exhausted =
             call.attempts_made >= self.settings.limits.max_attempts || self.now >= call.deadline;
-        let is_wrong_node =
-            Some(node) == own_node || (call.offered.is_transit && node != call.offered.destination);
+        let is_wrong_node = Some(node) == own_node || (call.is_transit && node != call.destination);
         if is_not_ready || is_exhausted || call.repeat_forbidden || is_wrong_node {
             return false;
         }
@@ -721,7 +762,7 @@
     /// Gives the final answer to a call: refused, or failed if an attempt may have run and must not be
     /// repeated.
     fn refuse(&mut self, id: &CallId, actions: &mut Vec<Action>) {
-        let Some(call) = self.calls.remove(id) else { return };
+        let Some(call) = self.remove_call(id, actions) else { return };
         self.remember_for_redial(&call);
         // The longest hold-off is used, since a later redial means less load for the processors.
         let hold_off = self.settings.limits.hold_off_allowed.then_some(self.settings.limits.max_hold_off);
@@ -744,8 +785,9 @@
 
     /// Remembers the number of a call that ends without being established, to recognize its redial.
     fn remember_for_redial(&mut self, call: &Call) {
-        if !call.is_established && !call.offered.is_transit {
-            self.redials.insert(call.offered.called_number.clone(), call.first_dialled_at);
+        let has_room = self.redials.len() < MAX_REDIALS || self.redials.contains_key(&call.number);
+        if !call.is_established && !call.is_transit && has_room {
+            self.redials.insert(call.number, call.first_dialled_at);
         }
     }
 
@@ -772,8 +814,8 @@
         let (node, sent_at, counted_in_window, is_overdue) =
             (attempt.node, attempt.sent_at, attempt.counted_in_window, attempt.is_overdue);
         call.is_established = true;
-        let (called_number, relative_delay, destination) =
-            (call.offered.called_number.clone(), elapsed / call.latency_objective, call.offered.destination);
+        let (number, relative_delay, destination) =
+            (call.number, elapsed / call.latency_objective, call.destination);
         if node != destination {
             self.nodes.entry(destination).or_default().tandems.insert(node, (0.0, 0.0));
         }
@@ -792,10 +834,11 @@
         if counted_in_window {
             self.remove_from_windows(node, elapsed);
         }
+        self.cancel_timers(id, actions);
         let earlier =
             self.calls.values_mut().filter(|c| !c.is_established).filter_map(|c| c.attempt.as_mut());
         earlier.filter(|a| a.node == node && a.sent_at < sent_at).for_each(|a| a.presumed_lost = true);
-        self.record_number_state(&called_number, false);
+        self.record_number_state(number, false);
         self.send_held_calls(actions);
     }
 
@@ -821,9 +864,8 @@
                 state.free_circuits = Some(0.0);
             }
         }
-        let (was_established, destination) =
-            (std::mem::take(&mut call.is_established), call.offered.destination);
-        let (called_number, latency_objective) = (call.offered.called_number.clone(), call.latency_objective);
+        let (was_established, destination) = (std::mem::take(&mut call.is_established), call.destination);
+        let (number, latency_objective) = (call.number, call.latency_objective);
         if !was_established {
             let elapsed = outcome.elapsed.as_secs_f64();
             let processor_full = matches!(outcome.failure_cause, Some(FailureCause::ProcessorFull(_)));
@@ -864,11 +906,11 @@
             }
         }
         if outcome.failure_cause == Some(FailureCause::UserBusy) {
-            self.record_number_state(&called_number, true);
+            self.record_number_state(number, true);
         }
         let Some(call) = self.calls.get_mut(&outcome.call) else { return };
         if outcome.call_ended {
-            self.calls.remove(&outcome.call);
+            self.remove_call(&outcome.call, actions);
             return self.send_held_calls(actions);
         }
         let needs_guard_time = matches!(
@@ -898,7 +940,7 @@
         // to come. It must not be sent again.
         let is_over = outcome.status == AttemptStatus::Ended || call.repeat_forbidden;
         let is_given_up = is_over || call.attempts_made >= self.settings.limits.max_attempts;
-        if call.offered.is_transit || is_given_up || not_before >= call.hold_until {
+        if call.is_transit || is_given_up || not_before >= call.hold_until {
             self.refuse(&outcome.call, actions);
         } else if not_before > self.now {
             call.tried_nodes.clear();
@@ -918,7 +960,7 @@
     /// This recovers from lost answers and lost signalling, also if they concern one node among busier ones.
     /// The drawback: a processor that has just become slow gets some set-ups twice.
     fn cancel_if_overdue(&mut self, id: &CallId, actions: &mut Vec<Action>) {
-        let Some(call) = self.calls.get_mut(id).filter(|c| !c.is_established && !c.offered.is_transit) else {
+        let Some(call) = self.calls.get_mut(id).filter(|c| !c.is_established && !c.is_transit) else {
             return;
         };
         let is_safe = self.settings.classes[call.class].idempotency == Idempotency::Safe;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -8,12 +8,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use harness::*;
 use quartzspindle::call::budget::{Account, Budget, BudgetLimits};
+use quartzspindle::call::calls::Calls;
 use quartzspindle::call::memory::{request_memory, OPEN_REQUESTS, REQUEST_OVERHEAD};
+use quartzspindle::interface::CallId;
 use rstest::rstest;
 use serde_json::json;
 
@@ -167,6 +170,31 @@
     assert!(peak < limit, "{peak} bytes of {limit}");
 }
 
+/// Guards against timers, ids and numbers of requests that are over and still take memory until the ring limit
+/// of their callers has passed.
+#[test]
+fn requests_that_are_withdrawn_at_once_leave_no_memory_behind() {
+    let (_exchange, router, mut client) = start_router(192, 1024);
+    let flood =
+        Flood { requests: 1000, message_size: 0, is_withdrawn: true, ring_limit_ms: 600_000, ..LARGE };
+    let address = router.listen_address;
+    let run_all = |round: usize| {
+        let (sender, _sent) = channel();
+        let start_flood = |number: usize| {
+            let sender = sender.clone();
+            thread::spawn(move || flood.run(address, 100 * round + number, &sender))
+        };
+        let floods: Vec<_> = (0..20).map(start_flood).collect();
+        floods.into_iter().for_each(|flood| drop(flood.join().unwrap()));
+    };
+    (1..=2).for_each(run_all);
+    let before = peak_memory(&router);
+    (3..=8).for_each(run_all);
+    let grown = peak_memory(&router).saturating_sub(before);
+    assert!(grown < 10_000_000, "{grown} bytes more after 120,000 further requests");
+    client.wait_until_ready();
+}
+
 /// Guards against a limit that takes requests from clients which the platform's pages allow: 20,000 open ones,
 /// and 1,000 of the largest size on one connection while the others hold little.
 #[test]
@@ -237,6 +265,17 @@
     assert_eq!(budget.shared_in_use(), 0);
 }
 
+/// Guards against a flood of requests that never reached an exchange and displace the ids of calls for which
+/// exchanges may still send messages.
+#[test]
+fn ids_of_calls_that_were_never_sent_do_not_displace_those_of_released_calls() {
+    let mut calls = Calls::default();
+    let id = |n: u32| CallId(Arc::from(format!("{n:016x}")));
+    calls.mark_ended(&id(0), Duration::ZERO);
+    (1..100_000).for_each(|n| drop(calls.end(&id(n), Duration::from_secs(1))));
+    assert!(calls.has_ended(&id(0)) && calls.has_ended(&id(99_999)) && !calls.has_ended(&id(1)));
+}
+
 /// Guards against a client that sends on and on while it reads nothing: what it is owed is kept, and it is
 /// disconnected once it has read nothing for some seconds.
 #[test]
--- a/tests/regressions.rs
+++ b/tests/regressions.rs
@@ -6,8 +6,12 @@
 use std::time::Duration;
 
 use common::*;
+use quartzspindle::call::calls::Origin;
+use quartzspindle::call::core::{Core, Request};
+use quartzspindle::call::exchanges::Exchanges;
 use quartzspindle::interface::*;
 use quartzspindle::policy::AdmissionControl;
+use quartzspindle::Controller;
 
 fn sends_to(actions: &[Action], node: u32) -> usize {
     actions
@@ -442,6 +446,33 @@
     assert!(network.controller.state_size() < 200, "{}", network.controller.state_size());
 }
 
+/// Guards against timers of requests that are over: a flood of requests that are withdrawn at once would leave
+/// theirs until the ring limits of the callers have passed.
+#[test]
+fn a_withdrawn_request_leaves_no_timer_behind() {
+    let controller = Controller::new(settings(3), 1, ms(0)).unwrap();
+    let mut core = Core::new(controller, Exchanges::with_nodes_of(&settings(3)), ms(0));
+    for number in 0..1000 {
+        let id = CallId(format!("{number:016x}").into());
+        let offered = OfferedCall {
+            call: id.clone(),
+            class: 0,
+            tenant: 0,
+            called_number: "1".into(),
+            remaining: ms(600_000),
+            destination: NodeNumber(1),
+            circuits: None,
+            via: None,
+            flagged_as_redial: false,
+            is_transit: false,
+            is_reconnect: false,
+        };
+        core.handle_request(ms(number), Request { origin: Origin(1), offered, description: "".into() });
+        core.hang_up(ms(number), &id, 16);
+    }
+    assert!(core.pending_timers() < 10, "{}", core.pending_timers());
+}
+
 #[test]
 fn the_limit_of_the_accepted_rate_has_three_regions() {
     let near = |a: f64, b: f64| (a - b).abs() < 1e-9;
