Reject ids far longer than those of the protocol, which were kept after their calls

A Call-ID was taken at any length, up to the 16 KiB of a message, and is kept for 15 s after the end of its call (Calls::ended, 32,768 ids: 512 MB), also for a BYE of a call that nobody knows, which is queued for every exchange as well; each waiting line of the log holds it too. Seen by reading, and by a set-up with an id of 15,000 bytes, which was taken. Ruled out: what exchanges send beside ids.

Change: a message with a Call-ID of more than 128 bytes is answered 400 (on_client_message in src/net/platform/clients.rs); the protocol's ids have 16 digits. A message of an exchange with a longer id, which can't be one of a call of this router, is ignored, without closing the connection.

Result: an_id_far_longer_than_those_of_the_protocol_is_rejected in tests/memory.rs failed before (404 for 129 bytes).

--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -8,9 +8,13 @@
     pub(in crate::net) fn on_client_message(&mut self, client: u64, message: Message) {
         let now = self.clock.now();
         self.clients.on_message(now, client);
-        let Some(id) = message.call_id().map(|id| CallId(id.into())) else {
+        let Some(id) = message.call_id() else {
             return self.reject(client, 400, &message.echoed_headers(), "no Call-ID");
         };
+        if id.len() > MAX_CALL_ID_BYTES {
+            return self.reject(client, 400, &message.echoed_headers(), "Call-ID too long");
+        }
+        let id = CallId(id.into());
         let StartLine::Request { method, user } = &message.start_line else {
             let cseq = message.header("CSeq").unwrap_or_default();
             if cseq.ends_with("BYE") && message.start_line != StartLine::Response(100) {
@@ -312,10 +316,12 @@
     }
 }
 
-/// Returns the value of Call-ID among the headers that an answer repeats, or an empty string.
+/// Returns the value of Call-ID among the headers that an answer repeats; an empty string if there is none or
+/// it is too long.
 fn call_id_of(echoed: &str) -> String {
     let id = echoed
         .lines()
         .find_map(|line| line.split_once(": ").filter(|(n, _)| n.eq_ignore_ascii_case("call-id")));
-    id.map_or_else(String::new, |(_, value)| value.to_owned())
+    let id = id.map(|(_, value)| value).filter(|value| value.len() <= MAX_CALL_ID_BYTES);
+    id.unwrap_or_default().to_owned()
 }
--- a/src/net/platform/exchanges.rs
+++ b/src/net/platform/exchanges.rs
@@ -18,6 +18,10 @@
         if self.is_stopped {
             return; // no client can be informed any more; the exchange repeats this to the next process
         }
+        if message.tag.len() > MAX_CALL_ID_BYTES {
+            return debug!(self.log, "exchange message ignored"; "exchange_id" => &*exchange.0,
+                "reason" => "id too long for a call of this router");
+        }
         let now = self.clock.now();
         let id = CallId(message.tag.as_str().into());
         let is_answer = matches!(message.verb.as_str(), "STARTED" | "FINISH");
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -51,6 +51,9 @@
 /// Maximum number of times that a release is sent. The last time is 4.5 s after the first, since a release is
 /// due within 8 s.
 const MAX_RELEASE_SENDS: u32 = 5;
+/// Maximum length in bytes of the id of a call. Ids are kept for a while after the end of their calls; those
+/// of the protocol have 16 digits.
+const MAX_CALL_ID_BYTES: usize = 128;
 /// Maximum number of circuits that one call may seize: more than any bearer service needs (H12, 30 channels).
 const MAX_CIRCUITS_PER_CALL: f64 = 64.0;
 /// Longest ring limit that a set-up may specify.
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -195,6 +195,22 @@
     client.wait_until_ready();
 }
 
+/// Guards against an id as long as a message, which would be kept for a while after the end of its call.
+#[test]
+fn an_id_far_longer_than_those_of_the_protocol_is_rejected() {
+    let (_exchange, _router, mut client) = start_router(192, 1024);
+    for (length, status) in [(128, " 404 "), (129, " 400 "), (15_000, " 400 ")] {
+        client.send_request(
+            "INVITE",
+            &"c".repeat(length),
+            "X-Call-Class: voice\r\nX-Ring-Limit: 900\r\nX-Dest: dest:99\r\n",
+            "",
+        );
+        let answer = client.receive();
+        assert!(answer.first_line.contains(status), "{length}: {}", answer.first_line);
+    }
+}
+
 /// Guards against a limit that takes requests from clients which the platform's pages allow: 20,000 open ones,
 /// and 1,000 of the largest size on one connection while the others hold little.
 #[test]
