Keep each release until a client that serves calls has been told, however many others come

A call ended while no caller was connected; its release went to the first bad client, which had closed, at the end of that connection to the next, and was forgotten after five of them, 1.5 s after the end of the call. The callers who connected 1.5 s later were never told. resend_release in src/net/platform/releases.rs counted sends, not callers that were told, and on_client_disconnected counted one for a connection that ended at once. Ruled out: the 8 s of the queue (3 s had passed), a BYE or an answer by a bad client (they send neither), the exchange (it repeated the release at 14.6 s, and handle_reply in src/call/core.rs ignored it, since the call was over). On related paths: bad clients that stay connected, or send a whole request, used up the five sends in 4.5 s; the queue dropped the oldest of more than 8,192 releases; any final answer to a BYE on any connection counted as heard; and FINISHED was sent to the exchange before any client was told, so that it would not repeat the release to the next process.

Change: src/call/releases.rs (no I/O) keeps a release until it is confirmed by a 2xx on a connection on which it was sent, or has been sent on a connection of which a call was answered 200, still open, and is due. No bad client is answered 200. Until then it is repeated, sent to each new client and to each that has its first call answered, and sent again when its connection ends; untold ones are kept for 60 s. FINISHED is sent when it is done, and not before, also for a repeat.

--- a/src/call/core.rs
+++ b/src/call/core.rs
@@ -109,6 +109,8 @@
         call: CallId,
         /// Q.850 cause.
         cause: u32,
+        /// Exchange at which it was established.
+        exchange: ExchangeId,
     },
     /// Sends a message to all other controllers.
     Broadcast(String),
@@ -335,7 +337,8 @@
                     } else {
                         CAUSE_TEMPORARY_FAILURE
                     };
-                    self.effects.push(Effect::ReleaseAtClient { origin, call: id.clone(), cause });
+                    let (call, exchange) = (id.clone(), exchange.clone());
+                    self.effects.push(Effect::ReleaseAtClient { origin, call, cause, exchange });
                     self.end_call(id);
                 }
                 self.queue_outcome(id, &attempt, status, failure_cause, load_report, was_established);
@@ -351,7 +354,8 @@
                     } else {
                         CAUSE_TEMPORARY_FAILURE
                     };
-                    self.effects.push(Effect::ReleaseAtClient { origin: None, call: id.clone(), cause });
+                    let (call, exchange) = (id.clone(), exchange.clone());
+                    self.effects.push(Effect::ReleaseAtClient { origin: None, call, cause, exchange });
                 }
             }
         }
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -8,4 +8,5 @@
 pub mod core;
 pub mod exchanges;
 pub mod memory;
+pub mod releases;
 pub mod timers;
--- a/src/net/client_connections.rs
+++ b/src/net/client_connections.rs
@@ -264,13 +264,23 @@
         self.open.get(&id).is_none_or(|c| !c.is_open())
     }
 
-    /// Records that a call on a connection has been answered, so that its client is known to serve calls.
-    pub fn on_call_answered(&mut self, id: u64) {
-        if let Some(client) = self.open.get_mut(&id) {
-            client.has_served_call = true;
-            client.request_count.prefer();
-            client.request_memory.prefer();
-        }
+    /// Records that a call on a connection has been answered. Returns whether it is the first one, so that the
+    /// client is now known to serve calls.
+    pub fn on_call_answered(&mut self, id: u64) -> bool {
+        let Some(client) = self.open.get_mut(&id) else { return false };
+        client.request_count.prefer();
+        client.request_memory.prefer();
+        !std::mem::replace(&mut client.has_served_call, true)
+    }
+
+    /// Returns whether a call on a connection has been answered.
+    pub fn serves_calls(&self, id: u64) -> bool {
+        self.open.get(&id).is_some_and(|client| client.has_served_call)
+    }
+
+    /// Returns whether a client is connected that is known to serve calls.
+    pub fn has_serving_client(&self) -> bool {
+        self.open.values().any(|client| client.has_served_call && client.is_open())
     }
 
     /// Queues bytes on a connection.
@@ -280,16 +290,16 @@
         }
     }
 
-    /// Returns the connection for a release: the call's own if it is open, else the one whose client is most
-    /// likely to serve calls. The connection `excluded` is not considered, since the release was sent there
-    /// before.
-    pub fn select_for_release(&self, own: Option<u64>, excluded: Option<u64>) -> Option<u64> {
-        let is_usable =
-            |id: &u64| Some(*id) != excluded && self.open.get(id).is_some_and(|c| c.writes.is_open());
+    /// Returns the connection for a release: the call's own if it is open and was not used before, else the one
+    /// whose client is most likely to serve calls. Connections on which it was sent before come last.
+    pub fn select_for_release(&self, own: Option<u64>, was_sent_on: impl Fn(u64) -> bool) -> Option<u64> {
+        let is_usable = |id: &u64| self.open.get(id).is_some_and(|c| c.writes.is_open());
         let others = self.open.iter().filter(|(id, _)| is_usable(id));
-        let best =
-            |(id, c): &(&u64, &ClientConnection)| (c.is_open(), c.has_served_call, c.last_received_at, **id);
-        own.filter(is_usable).or_else(|| others.max_by_key(best).map(|(id, _)| *id))
+        let best = |(id, c): &(&u64, &ClientConnection)| {
+            (c.is_open(), !was_sent_on(**id), c.has_served_call, c.last_received_at, **id)
+        };
+        let own = own.filter(|id| is_usable(id) && !was_sent_on(*id));
+        own.or_else(|| others.max_by_key(best).map(|(id, _)| *id))
     }
 
     /// Closes the connections that have been silent or idle for too long. Returns those with a message that
--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -291,6 +291,13 @@
         }
     }
 
+    /// Queues bytes on the best open connection, if there is one.
+    pub fn send_if_connected(&mut self, bytes: &[u8]) {
+        if let Some(connection) = self.best_connection() {
+            connection.writes.enqueue(bytes);
+        }
+    }
+
     /// Adds a new connection and sends the queued messages on it.
     pub fn on_connected(&mut self, now: Duration, id: ConnectionId, writes: SharedWriteBuffer) {
         (self.is_connecting, self.has_lost_connections, self.has_tried_connect, self.connect_backoff) =
--- a/src/net/platform/clients.rs
+++ b/src/net/platform/clients.rs
@@ -16,9 +16,9 @@
         }
         let id = CallId(id.into());
         let StartLine::Request { method, user } = &message.start_line else {
-            let cseq = message.header("CSeq").unwrap_or_default();
-            if cseq.ends_with("BYE") && message.start_line != StartLine::Response(100) {
-                self.unconfirmed_releases.remove(&id);
+            let is_success = matches!(message.start_line, StartLine::Response(200..=299));
+            if is_success && message.header("CSeq").is_some_and(|cseq| cseq.ends_with("BYE")) {
+                self.on_release_confirmed(&id, client);
             }
             return;
         };
@@ -37,7 +37,7 @@
                 let is_known = self.core.calls.open.contains_key(&id) || self.core.calls.has_ended(&id);
                 let status = if is_known { 200 } else { 481 };
                 self.send_to_client(client, &sip::response(status, &echoed, None, b""));
-                self.unconfirmed_releases.remove(&id);
+                self.on_released_by_caller(&id);
                 let cause = sip::release_cause(message.header("Reason"));
                 self.core.hang_up(now, &id, cause);
             }
@@ -267,11 +267,7 @@
             return None;
         }
         debug!(self.log, "client connected"; "connection_id" => id);
-        for release in std::mem::take(&mut self.queued_releases) {
-            if release.expires_at > now {
-                self.send_release(Some(id), release.call, release.cause, release.send_count);
-            }
-        }
+        self.send_releases_to_new_client(id);
         Some(id)
     }
 
@@ -304,14 +300,7 @@
             self.metrics.count_dropped_request(reason);
             self.withdraw(now, &id, false);
         }
-        // Releases that crossed the close are lost, so unconfirmed ones are sent on another connection.
-        let unconfirmed: Vec<CallId> = self
-            .unconfirmed_releases
-            .iter()
-            .filter(|(_, r)| r.client == client)
-            .map(|(id, _)| id.clone())
-            .collect();
-        unconfirmed.iter().for_each(|call| self.resend_release(call));
+        self.resend_lost_releases(client);
         self.flush();
     }
 }
--- a/src/net/platform/effects.rs
+++ b/src/net/platform/effects.rs
@@ -50,12 +50,13 @@
                 }
             }
             Effect::Answer { call, description, .. } => {
-                if let Some(invite) = self.invites.get(&call) {
-                    self.clients.on_call_answered(invite.client);
-                }
+                let client = self.invites.get(&call).map(|invite| invite.client);
                 if !self.answer_request(&call, 200, "stands", None, description.as_bytes()) {
                     self.core.hang_up(now, &call, CAUSE_TEMPORARY_FAILURE);
                 }
+                if let Some(client) = client.filter(|client| self.clients.on_call_answered(*client)) {
+                    self.send_releases_to_serving_client(client);
+                }
             }
             Effect::Refuse { call, hold_off, .. } => {
                 let hold_off = hold_off.map(|d| d.as_millis()).or(self.hold_off);
@@ -64,8 +65,8 @@
             Effect::Fail { call, .. } => {
                 self.answer_request(&call, 500, "failed", None, b"");
             }
-            Effect::ReleaseAtClient { origin, call, cause } => {
-                self.release_to_client(origin.map(|o| o.0), call, cause)
+            Effect::ReleaseAtClient { origin, call, cause, exchange } => {
+                self.release_to_client(origin.map(|o| o.0), call, cause, exchange)
             }
             Effect::Broadcast(text) => self.broadcast_to_peers(&text),
             Effect::Log(line) => info!(self.log, "{}", line),
--- a/src/net/platform/exchanges.rs
+++ b/src/net/platform/exchanges.rs
@@ -55,7 +55,10 @@
                     Reply::Ended { status, failure_cause, load_report },
                 );
                 if was_established {
-                    self.send_to_exchange(exchange, connection, &jsonl::reply("FINISHED", &id.0, None));
+                    self.flush();
+                    if self.releases.get(&id).is_none() {
+                        self.send_to_exchange(exchange, connection, &jsonl::reply("FINISHED", &id.0, None));
+                    }
                 }
             }
             "ECHO" => self.send_to_exchange(exchange, connection, &jsonl::reply("ECHOED", &id.0, Some(1))),
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -8,7 +8,7 @@
 mod releases;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -24,6 +24,7 @@
 use crate::call::core::{Core, Effect, Reply, Request, CAUSE_NORMAL_CLEARING, CAUSE_TEMPORARY_FAILURE};
 use crate::call::exchanges::Exchanges;
 use crate::call::memory;
+use crate::call::releases::{PendingReleases, ReleaseTask};
 use crate::interface::*;
 use crate::lifecycle::config::{Config, ListedExchange, MembershipUpdate};
 use crate::metrics::Metrics;
@@ -39,18 +40,8 @@
 
 /// Subtracted from the time for which a caller waits, so that the answer reaches it in time.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
-/// Time for which a release waits if no client is connected.
-const RELEASE_QUEUE_TIMEOUT: Duration = Duration::from_secs(8);
-/// Maximum number of releases that wait for a client connection.
-const MAX_QUEUED_CLIENT_RELEASES: usize = 8192;
 /// Share of the descriptors available to client connections; clients by themselves use a third at most.
 const CLIENT_CONNECTIONS_SHARE: f64 = 0.6;
-/// Time after which an unconfirmed release is first repeated on another connection; it doubles with each
-/// repeat. Clients need not confirm releases, so one without a confirmation may have arrived all the same.
-const RELEASE_RETRY: Duration = Duration::from_millis(300);
-/// Maximum number of times that a release is sent. The last time is 4.5 s after the first, since a release is
-/// due within 8 s.
-const MAX_RELEASE_SENDS: u32 = 5;
 /// Maximum length in bytes of the id of a call. Ids are kept for a while after the end of their calls; those
 /// of the protocol have 16 digits.
 const MAX_CALL_ID_BYTES: usize = 128;
@@ -70,34 +61,6 @@
     echoed_headers: String,
 }
 
-/// A release that waits for a client connection.
-#[derive(Debug)]
-struct QueuedRelease {
-    call: CallId,
-    cause: u32,
-    expires_at: Duration,
-    /// Number of the next send, from 1.
-    send_count: u32,
-}
-
-/// A release that was sent and that no client has confirmed yet.
-#[derive(Debug)]
-struct UnconfirmedRelease {
-    client: u64,
-    cause: u32,
-    /// Time of the last send.
-    sent_at: Duration,
-    /// Number of sends so far.
-    send_count: u32,
-}
-
-impl UnconfirmedRelease {
-    /// Returns the time at which the release is to be repeated.
-    fn retry_at(&self) -> Duration {
-        self.sent_at + RELEASE_RETRY * (1 << (self.send_count - 1).min(MAX_RELEASE_SENDS))
-    }
-}
-
 /// The call front end with its core, its connections and its open requests.
 #[derive(Debug)]
 pub struct Platform {
@@ -117,8 +80,7 @@
     pub(in crate::net) last_event: u64,
     clients: ClientConnections,
     invites: HashMap<CallId, Invite>,
-    unconfirmed_releases: HashMap<CallId, UnconfirmedRelease>,
-    queued_releases: VecDeque<QueuedRelease>,
+    releases: PendingReleases,
     pools: BTreeMap<ExchangeId, ExchangePool>,
     last_connection_id: u64,
     is_draining: bool,
@@ -186,8 +148,7 @@
                     memory::request_memory(config.memory_limit, max_clients),
                 ),
                 invites: HashMap::new(),
-                unconfirmed_releases: HashMap::new(),
-                queued_releases: VecDeque::new(),
+                releases: PendingReleases::default(),
                 pools: BTreeMap::new(),
                 last_connection_id: 0,
                 is_draining: false,
@@ -397,9 +358,7 @@
     }
 
     fn sweep(&mut self, now: Duration) {
-        let overdue = self.unconfirmed_releases.iter().filter(|(_, r)| now >= r.retry_at());
-        let overdue: Vec<CallId> = overdue.map(|(id, _)| id.clone()).collect();
-        overdue.iter().for_each(|call| self.resend_release(call));
+        self.run_due_releases(now);
         for client in self.clients.sweep(now) {
             self.metrics.count_protocol_error("message_timeout");
             self.send_to_client(client, &sip::response(408, "", None, b""));
--- /dev/null
+++ b/tests/releases.rs
@@ -0,0 +1,186 @@
+//! Tests of the releases of ended calls: each reaches a client that serves calls, whatever other clients do in
+//! the meantime, and an exchange is told only then.
+
+mod harness;
+
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use harness::*;
+use quartzspindle::call::releases::{PendingReleases, ReleaseTask};
+use quartzspindle::interface::{CallId, ExchangeId};
+use rstest::rstest;
+
+const CALL: &str = "00000000000a0000";
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Starts a router with an established call whose client has closed its connection since. Returns the
+/// exchange's connection as well.
+fn start_without_clients() -> (Exchange, Router, TcpStream) {
+    let exchange = Exchange::start();
+    let router = Router::start(&router_config(&[exchange.address]));
+    let mut client = router.connect_client();
+    client.wait_until_ready();
+    let stream = establish_call(&exchange, &mut client, CALL);
+    drop(client);
+    thread::sleep(ms(100));
+    (exchange, router, stream)
+}
+
+/// Establishes a call. Returns the exchange's connection.
+fn establish_call(exchange: &Exchange, client: &mut Client, call: &str) -> TcpStream {
+    client.send_invite(call, 1, 2000);
+    let (_, stream, _) = exchange.receive("START");
+    send_started(&stream, call);
+    assert!(client.receive().first_line.contains(" 200 "));
+    stream
+}
+
+/// Places a call as a caller that is back, and waits for the release of the earlier call on its connection.
+fn expect_release_beside_a_call(exchange: &Exchange, router: &Router, call: &str) {
+    let mut client = router.connect_client();
+    client.send_invite(call, 1, 2000);
+    let (_, stream, _) = exchange.receive("START");
+    send_started(&stream, call);
+    let start = Instant::now();
+    loop {
+        let message = client.receive_within(ms(1000)).expect("a release within a second");
+        if message.first_line.starts_with("BYE ") && message.has_header_line(&format!("Call-ID: {CALL}")) {
+            break;
+        }
+        assert!(start.elapsed() < ms(1000));
+    }
+    client.send(&format!("SIP/2.0 200 OK\r\nCall-ID: {CALL}\r\nCSeq: 2 BYE\r\nContent-Length: 0\r\n\r\n"));
+}
+
+/// What a bad client sends before it closes its connection, if it closes it.
+#[derive(Clone, Copy)]
+enum BadClient {
+    HalfARequest,
+    Nothing,
+    WholeRequest,
+    NothingAndStays,
+    WholeRequestAndStays,
+}
+
+/// Guards against a release that is used up on connections of clients which serve no calls, so that the callers
+/// who connect afterwards are never told.
+#[rstest]
+fn a_release_outlasts_any_number_of_bad_clients(
+    #[values(
+        BadClient::HalfARequest,
+        BadClient::Nothing,
+        BadClient::WholeRequest,
+        BadClient::NothingAndStays,
+        BadClient::WholeRequestAndStays
+    )]
+    bad_client: BadClient,
+    #[values(8, 40)] count: usize,
+) {
+    let (exchange, router, stream) = start_without_clients();
+    send_finish(&stream, CALL, 16, "");
+    thread::sleep(ms(50));
+    let mut connected = Vec::new();
+    for _ in 0..count {
+        let mut client = router.connect_client();
+        match bad_client {
+            BadClient::HalfARequest => client.send("INVITE sip:1@net SIP/2.0\r\nCall-"),
+            BadClient::Nothing | BadClient::NothingAndStays => {}
+            BadClient::WholeRequest | BadClient::WholeRequestAndStays => {
+                client.send_request("OPTIONS", "00000000000000ff", "", "");
+                client.receive();
+            }
+        }
+        if matches!(bad_client, BadClient::NothingAndStays | BadClient::WholeRequestAndStays) {
+            connected.push(client);
+        } else {
+            client.0.get_ref().shutdown(Shutdown::Both).unwrap();
+        }
+        thread::sleep(ms(2000) / count as u32);
+    }
+    thread::sleep(ms(500));
+    expect_release_beside_a_call(&exchange, &router, "00000000000a0001");
+}
+
+/// Guards against a confirmation that is taken from a client which was never sent the release, and against an
+/// exchange that is told of a release which no caller has heard, and does not repeat it to the next process.
+#[test]
+fn an_exchange_is_told_of_a_release_once_a_client_has_confirmed_it() {
+    let (exchange, router, stream) = start_without_clients();
+    send_finish(&stream, CALL, 16, "");
+    assert!(exchange.receive_within("FINISHED", ms(500)).is_none(), "no client has been told");
+    expect_release_beside_a_call(&exchange, &router, "00000000000a0001");
+    let (finished, _, _) = exchange.receive_within("FINISHED", ms(1000)).expect("FINISHED");
+    assert_eq!(finished["tag"], CALL);
+}
+
+/// Guards against a repeat of a release that is answered as if its callers had been told.
+#[test]
+fn a_repeated_release_is_confirmed_only_once_it_is_done() {
+    let (exchange, router, stream) = start_without_clients();
+    send_finish(&stream, CALL, 16, "");
+    send_finish(&stream, CALL, 16, "");
+    assert!(exchange.receive_within("FINISHED", ms(300)).is_none(), "no client has been told");
+    expect_release_beside_a_call(&exchange, &router, "00000000000a0001");
+    exchange.receive_within("FINISHED", ms(1000)).expect("FINISHED");
+    send_finish(&stream, CALL, 16, "");
+    exchange.receive_within("FINISHED", ms(1000)).expect("FINISHED for a release that is done");
+}
+
+/// Guards against releases that are dropped when many calls end at once without a caller.
+#[test]
+fn many_releases_wait_for_a_client() {
+    let mut releases = PendingReleases::default();
+    let exchange = ExchangeId(Arc::from("s-00000001"));
+    let call = |n: u32| CallId(Arc::from(format!("{n:016x}")));
+    for n in 0..20_000 {
+        assert!(releases.add(ms(0), &call(n), None, 16, exchange.clone()));
+        releases.on_no_client(&call(n));
+    }
+    assert!(releases.pop_due(ms(20_000)).is_none() && releases.len() == 20_000);
+    let mut told = 0;
+    while !releases.due_for_client(7).is_empty() {
+        for due in releases.due_for_client(7) {
+            releases.on_sent(ms(20_000), &due, 7, true);
+            told += 1;
+        }
+    }
+    assert_eq!(told, 20_000);
+}
+
+/// Guards against a release that is given up on sends to clients which serve no calls, or repeated for ever to
+/// a client that does.
+#[test]
+fn only_a_send_to_a_client_that_serves_calls_lets_a_release_expire_when_it_is_due() {
+    let (call, exchange) = (CallId(Arc::from(CALL)), ExchangeId(Arc::from("s-00000001")));
+    let mut releases = PendingReleases::default();
+    releases.add(ms(0), &call, None, 16, exchange.clone());
+    let mut sends = Vec::new();
+    for tick in 0..400 {
+        let now = ms(50 * tick);
+        while let Some(task) = releases.pop_due(now) {
+            assert_eq!(task, ReleaseTask::Send(call.clone()));
+            sends.push(now);
+            releases.on_sent(now, &call, tick, false);
+        }
+        if sends.is_empty() {
+            sends.push(now);
+            releases.on_sent(now, &call, tick, false);
+        }
+    }
+    assert!((8..=16).contains(&sends.len()), "{sends:?}");
+    assert_eq!(releases.due_for_client(1000), std::slice::from_ref(&call));
+    releases.on_sent(ms(20_000), &call, 1000, true);
+    assert!(releases.due_for_client(1001).is_empty());
+    assert_eq!(releases.on_disconnected(1000), std::slice::from_ref(&call), "lost with its connection");
+    releases.on_sent(ms(20_050), &call, 1001, false);
+    releases.on_client_serves_calls(1001);
+    assert_eq!(releases.on_confirmed(&call, 1002), None, "it was never sent there");
+    assert_eq!(releases.pop_due(ms(20_500)), Some(ReleaseTask::Done(call, exchange)));
+    assert!(releases.is_empty());
+}
