Leave the exchange's repeat of a release to the next process while no caller is connected

A release came while no caller was connected. The router then opened another connection to the exchange, since a call stands there and the exchange was silent for 1.5 s; on it the exchange repeated the release for the last time. SIGTERM 1 s after the end of the call ended the process with both. Ruled out: an early exit (by the schedule the callers, who come back 3 s after SIGTERM, would meet no listener in any case), and FINISHED alone (this exchange repeats a release once, on the next connection opened, confirmed or not).

Change: connect_if_needed in src/net/platform/exchanges.rs opens no connection to an exchange whose releases wait for callers, while a connection to it is in use and it sent something within 5 s. A connection that is needed for set-ups is opened as before, as is any once a client that serves calls is connected. Being out of reach is still noticed in time, after 7.4 s of silence.

--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -43,6 +43,12 @@
 const OUT_OF_REACH_TIMEOUT: Duration = Duration::from_millis(7400);
 /// Maximum number of releases that wait for a connection.
 const MAX_QUEUED_RELEASES: usize = 4096;
+/// While releases of the exchange's calls wait for clients, connections that would only collect further ones
+/// are not opened until the exchange has been silent for this long.
+///
+/// An exchange repeats a release on the next connection opened. As long as this process can't pass it on, the
+/// repeat is worth more to the next one, if this process is about to be replaced.
+const MAX_COLLECT_DEFERRAL: Duration = Duration::from_secs(5);
 
 /// Number of a connection; numbers are never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -366,6 +372,14 @@
         now >= self.last_received_at + IDLE_THRESHOLD
     }
 
+    /// Returns whether a connection that would only collect releases may be opened later: another one is in
+    /// use, and the exchange has not been silent for so long that it may be out of reach.
+    pub fn may_defer_collecting(&self, now: Duration) -> bool {
+        let is_usable =
+            |c: &PooledConnection| !c.is_retired && c.silent_since.is_none() && c.writes.is_open();
+        self.connections.iter().any(is_usable) && now < self.last_received_at + MAX_COLLECT_DEFERRAL
+    }
+
     /// Returns whether the exchange has been unreachable for so long that its calls must be taken for ended.
     pub fn is_out_of_reach(&self, now: Duration) -> bool {
         self.is_unreachable && now >= self.last_received_at + OUT_OF_REACH_TIMEOUT
--- a/src/net/platform/exchanges.rs
+++ b/src/net/platform/exchanges.rs
@@ -101,7 +101,11 @@
             self.core.reset_calls_at(now, exchange);
             return self.flush();
         }
-        if self.is_stopped || !pool.should_connect(now, is_idle_with_calls) || !pool.make_room() {
+        let can_tell_clients = self.clients.has_serving_client() || !self.releases.has_untold_of(exchange);
+        if self.is_stopped || (!can_tell_clients && pool.may_defer_collecting(now)) {
+            return;
+        }
+        if !pool.should_connect(now, is_idle_with_calls) || !pool.make_room() {
             return;
         }
         pool.is_connecting = true;
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -132,6 +132,27 @@
     exchange.receive_within("FINISHED", ms(1000)).expect("FINISHED for a release that is done");
 }
 
+/// Guards against a planned restart that loses a release: a router without callers opened another connection
+/// and so used up the exchange's repeat, which the next process needs.
+#[test]
+fn a_release_without_callers_leaves_its_repeat_to_the_next_process() {
+    let exchange = Exchange::start();
+    let router = Router::start(&router_config(&[exchange.address]));
+    let mut client = router.connect_client();
+    client.wait_until_ready();
+    let stream = establish_call(&exchange, &mut client, CALL);
+    establish_call(&exchange, &mut client, "00000000000a0002");
+    drop(client);
+    send_finish(&stream, CALL, 16, "");
+    thread::sleep(ms(50));
+    let connections = || exchange.connections.lock().unwrap().len();
+    let before = connections();
+    thread::sleep(ms(2500));
+    assert_eq!(connections(), before, "no caller can be told what another connection would bring");
+    expect_release_beside_a_call(&exchange, &router, "00000000000a0001");
+    wait_until("another connection, for the releases of the other call", || connections() > before);
+}
+
 /// Guards against releases that are dropped when many calls end at once without a caller.
 #[test]
 fn many_releases_wait_for_a_client() {
