Keep the places of releases for known calls from those that any client can cause

The release of a call that nobody knows goes to every exchange, since the call may be older than the process; any client can cause it with a BYE. To an exchange without a connection such releases wait in the queue of ExchangePool::send_release, 4,096 at most, and a further one was dropped, also that of a call which is held there and which its caller has just released. Ruled out: an exchange with a connection (nothing waits then), set-ups (they have no limit in the queue, and the windows hold them to 40).

Change: the queue knows whose releases it holds. Those of unknown calls keep the limit of 4,096; those of known calls are limited by the number of such calls.

Result: releases_of_unknown_calls_do_not_displace_those_of_known_ones in tests/exchange_pool.rs; with both kinds sent as before, the release of the known call was missing.

--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -41,8 +41,9 @@
 /// established when the last message of the exchange arrived may have ended since, so all of them are
 /// released; those that are still established are cut off.
 const OUT_OF_REACH_TIMEOUT: Duration = Duration::from_millis(7400);
-/// Maximum number of releases that wait for a connection.
-const MAX_QUEUED_RELEASES: usize = 4096;
+/// Maximum number of releases of unknown calls that wait for a connection. Any client can cause them; those of
+/// calls that are known to be held at the exchange are limited by the number of such calls.
+const MAX_QUEUED_UNKNOWN_RELEASES: usize = 4096;
 /// While releases of the exchange's calls wait for clients, connections that would only collect further ones
 /// are not opened until the exchange has been silent for this long.
 ///
@@ -74,6 +75,26 @@
     is_retired: bool,
 }
 
+/// Kind of a message that waits for a connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum QueuedMessage {
+    /// The set-up of this call.
+    SetUp(CallId),
+    /// The release of a call that is held at this exchange.
+    Release,
+    /// The release of a call that may be held at any exchange, or at none.
+    UnknownRelease,
+}
+
+impl QueuedMessage {
+    fn set_up(&self) -> Option<&CallId> {
+        match self {
+            Self::SetUp(call) => Some(call),
+            Self::Release | Self::UnknownRelease => None,
+        }
+    }
+}
+
 /// How a connect failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectFailure {
@@ -97,8 +118,10 @@
     /// Whether a connect is in progress.
     pub is_connecting: bool,
     connections: Vec<PooledConnection>,
-    /// Messages that wait for a connection; set-ups carry the id of their call, releases do not.
-    queue: VecDeque<(Option<CallId>, Vec<u8>)>,
+    /// Messages that wait for a connection.
+    queue: VecDeque<(QueuedMessage, Vec<u8>)>,
+    /// Number of releases of unknown calls in the queue.
+    queued_unknown_releases: usize,
     next_connect_at: Duration,
     connect_backoff: Duration,
     /// Whether all connections have ended since the last successful connect: the process may have died.
@@ -124,6 +147,7 @@
             is_connecting: false,
             connections: Vec::new(),
             queue: VecDeque::new(),
+            queued_unknown_releases: 0,
             next_connect_at: Duration::ZERO,
             connect_backoff: INITIAL_CONNECT_BACKOFF,
             has_lost_connections: false,
@@ -146,7 +170,7 @@
     pub fn set_listed(&mut self, now: Duration, is_listed: bool) {
         if self.is_listed && !is_listed {
             self.removed_at = now;
-            self.queue.retain(|(call, _)| call.is_some());
+            self.drop_queued_releases();
         }
         self.is_listed = is_listed;
     }
@@ -182,7 +206,7 @@
                 connection.silent_since.get_or_insert(now);
             }
             None => {
-                self.queue.push_back((Some(call.clone()), bytes));
+                self.queue.push_back((QueuedMessage::SetUp(call.clone()), bytes));
                 self.next_connect_at = now;
             }
         }
@@ -191,7 +215,7 @@
     /// Cancels a set-up or releases a call, on the connection of its set-up if that is open, else on any.
     pub fn send_release(&mut self, now: Duration, call: &CallId, bytes: Vec<u8>) {
         let queued = self.queue.len();
-        self.queue.retain(|(id, _)| id.as_ref() != Some(call));
+        self.queue.retain(|(message, _)| message.set_up() != Some(call));
         if queued != self.queue.len() {
             return; // the set-up was still queued
         }
@@ -201,15 +225,26 @@
             connection.writes.enqueue(&bytes);
             return;
         }
-        let is_queueable = self.is_listed && self.queue.len() < MAX_QUEUED_RELEASES;
-        match self.best_connection() {
-            Some(connection) => connection.writes.enqueue(&bytes),
-            None if is_queueable => {
-                self.queue.push_back((None, bytes));
-                self.next_connect_at = self.next_connect_at.min(now + self.connect_backoff);
-            }
-            None => {}
+        self.send_or_queue(now, QueuedMessage::Release, bytes);
+    }
+
+    /// Releases a call that may be held at this exchange, at another one or at none.
+    pub fn send_unknown_release(&mut self, now: Duration, bytes: Vec<u8>) {
+        self.send_or_queue(now, QueuedMessage::UnknownRelease, bytes);
+    }
+
+    /// Sends a release on the best connection, or queues it if there is none.
+    fn send_or_queue(&mut self, now: Duration, message: QueuedMessage, bytes: Vec<u8>) {
+        if let Some(connection) = self.best_connection() {
+            return connection.writes.enqueue(&bytes);
         }
+        let is_unknown = message == QueuedMessage::UnknownRelease;
+        if !self.is_listed || (is_unknown && self.queued_unknown_releases >= MAX_QUEUED_UNKNOWN_RELEASES) {
+            return;
+        }
+        self.queued_unknown_releases += usize::from(is_unknown);
+        self.queue.push_back((message, bytes));
+        self.next_connect_at = self.next_connect_at.min(now + self.connect_backoff);
     }
 
     /// Records a message on a connection. `call` is set if the message answers the set-up of that call.
@@ -272,10 +307,16 @@
         }
     }
 
+    /// Removes the queued releases, which have become pointless.
+    fn drop_queued_releases(&mut self) {
+        self.queue.retain(|(message, _)| message.set_up().is_some());
+        self.queued_unknown_releases = 0;
+    }
+
     /// Removes the queued set-ups, which were never sent, and returns their calls.
     pub fn take_queued_set_ups(&mut self) -> Vec<CallId> {
-        let set_ups = self.queue.iter().filter_map(|(call, _)| call.clone()).collect();
-        self.queue.retain(|(call, _)| call.is_none());
+        let set_ups = self.queue.iter().filter_map(|(message, _)| message.set_up().cloned()).collect();
+        self.queue.retain(|(message, _)| message.set_up().is_none());
         set_ups
     }
 
@@ -311,9 +352,10 @@
         self.collect_releases_at = self.collect_releases_at.filter(|at| *at > now);
         (self.last_received_at, self.is_unreachable) = (now, false);
         let mut open_set_ups = BTreeSet::new();
-        for (call, bytes) in self.queue.drain(..) {
+        self.queued_unknown_releases = 0;
+        for (message, bytes) in self.queue.drain(..) {
             writes.enqueue(&bytes);
-            open_set_ups.extend(call);
+            open_set_ups.extend(message.set_up().cloned());
         }
         let silent_since = (!open_set_ups.is_empty()).then_some(now);
         if !self.is_listed && open_set_ups.is_empty() {
@@ -343,7 +385,7 @@
         let has_process_ended =
             failure == ConnectFailure::Refused && std::mem::take(&mut self.has_lost_connections);
         if has_process_ended {
-            self.queue.clear(); // the calls to be released ended with the process
+            self.drop_queued_releases(); // the calls to be released ended with the process
         }
         (set_ups, has_process_ended)
     }
--- a/tests/exchange_pool.rs
+++ b/tests/exchange_pool.rs
@@ -158,3 +158,17 @@
     assert_eq!(pool.take_queued_set_ups(), [CallId("a".into())]);
     assert!(pool.take_queued_set_ups().is_empty() && !pool.is_removable(), "the release still waits");
 }
+
+/// Guards against releases that any client can cause, for calls that nobody knows, and that take the places of
+/// those for calls which are held at the exchange, while it has no connection.
+#[test]
+fn releases_of_unknown_calls_do_not_displace_those_of_known_ones() {
+    let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
+    for _ in 0..5000 {
+        pool.send_unknown_release(ms(1000), vec![0; 10]);
+    }
+    pool.send_release(ms(1000), &CallId("known".into()), vec![0; 7]);
+    let writes = buffer();
+    pool.on_connected(ms(1100), ConnectionId(1), writes.clone());
+    assert_eq!(writes.account().held(), 4096 * 10 + 7);
+}
