Send a caller's release again that was lost with its connection to the exchange

A release by a caller was written to the best connection once (send_release in src/net/exchange_pool.rs), and those that waited to the next one (on_connected). If that connection ended before the exchange had read it, nothing was sent again, and the exchange held the circuits of a call that was over for both sides.

Change: a release that was written is kept for 10 s or until the exchange confirms it or releases the call itself. When its connection ends, it is sent on another one or waits for the next (ExchangePool::resend_release), unless the call has been set up again in the meantime. They are dropped when the exchange's process has ended.

--- a/src/net/exchange_pool.rs
+++ b/src/net/exchange_pool.rs
@@ -1,7 +1,7 @@
 //! Connections to one exchange: which of them carries a message, and what the end of one means for its
 //! set-ups.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,6 +35,8 @@
 const RELEASE_COLLECT_DELAY: Duration = Duration::from_millis(250);
 /// Connections with open set-ups to an exchange that is no longer listed are kept for this long.
 const REMOVED_LINGER: Duration = Duration::from_secs(10);
+/// Time for which a release that the exchange has not confirmed is sent again if its connection ends.
+const RELEASE_RETENTION: Duration = Duration::from_secs(10);
 /// Time without a message after which the calls of an unreachable exchange are released.
 ///
 /// A release is due 8 s after the end of its call, even if the exchange could not send it. Any call that was
@@ -81,18 +83,31 @@
     /// The set-up of this call.
     SetUp(CallId),
     /// The release of a call that is held at this exchange.
-    Release,
+    Release(CallId),
     /// The release of a call that may be held at any exchange, or at none.
-    UnknownRelease,
+    UnknownRelease(CallId),
 }
 
 impl QueuedMessage {
     fn set_up(&self) -> Option<&CallId> {
         match self {
             Self::SetUp(call) => Some(call),
-            Self::Release | Self::UnknownRelease => None,
+            Self::Release(_) | Self::UnknownRelease(_) => None,
         }
     }
+
+    fn is_unknown_release(&self) -> bool {
+        matches!(self, Self::UnknownRelease(_))
+    }
+}
+
+/// A release that was written to a connection and that the exchange has not confirmed.
+#[derive(Debug)]
+struct SentRelease {
+    connection: ConnectionId,
+    bytes: Vec<u8>,
+    /// Time from which it is no longer sent again.
+    expires_at: Duration,
 }
 
 /// How a connect failed.
@@ -122,6 +137,8 @@
     queue: VecDeque<(QueuedMessage, Vec<u8>)>,
     /// Number of releases of unknown calls in the queue.
     queued_unknown_releases: usize,
+    /// Releases that are lost if their connections end.
+    sent_releases: HashMap<CallId, SentRelease>,
     next_connect_at: Duration,
     connect_backoff: Duration,
     /// Whether all connections have ended since the last successful connect: the process may have died.
@@ -148,6 +165,7 @@
             connections: Vec::new(),
             queue: VecDeque::new(),
             queued_unknown_releases: 0,
+            sent_releases: HashMap::new(),
             next_connect_at: Duration::ZERO,
             connect_backoff: INITIAL_CONNECT_BACKOFF,
             has_lost_connections: false,
@@ -170,7 +188,7 @@
     pub fn set_listed(&mut self, now: Duration, is_listed: bool) {
         if self.is_listed && !is_listed {
             self.removed_at = now;
-            self.drop_queued_releases();
+            self.drop_releases();
         }
         self.is_listed = is_listed;
     }
@@ -225,20 +243,22 @@
             connection.writes.enqueue(&bytes);
             return;
         }
-        self.send_or_queue(now, QueuedMessage::Release, bytes);
+        self.send_or_queue(now, QueuedMessage::Release(call.clone()), bytes);
     }
 
     /// Releases a call that may be held at this exchange, at another one or at none.
-    pub fn send_unknown_release(&mut self, now: Duration, bytes: Vec<u8>) {
-        self.send_or_queue(now, QueuedMessage::UnknownRelease, bytes);
+    pub fn send_unknown_release(&mut self, now: Duration, call: &CallId, bytes: Vec<u8>) {
+        self.send_or_queue(now, QueuedMessage::UnknownRelease(call.clone()), bytes);
     }
 
     /// Sends a release on the best connection, or queues it if there is none.
     fn send_or_queue(&mut self, now: Duration, message: QueuedMessage, bytes: Vec<u8>) {
         if let Some(connection) = self.best_connection() {
-            return connection.writes.enqueue(&bytes);
+            connection.writes.enqueue(&bytes);
+            let id = connection.id;
+            return self.on_release_sent(now, id, message, bytes);
         }
-        let is_unknown = message == QueuedMessage::UnknownRelease;
+        let is_unknown = message.is_unknown_release();
         if !self.is_listed || (is_unknown && self.queued_unknown_releases >= MAX_QUEUED_UNKNOWN_RELEASES) {
             return;
         }
@@ -247,6 +267,42 @@
         self.next_connect_at = self.next_connect_at.min(now + self.connect_backoff);
     }
 
+    /// Keeps a release that was written to a connection, in case the connection ends.
+    fn on_release_sent(
+        &mut self,
+        now: Duration,
+        connection: ConnectionId,
+        message: QueuedMessage,
+        bytes: Vec<u8>,
+    ) {
+        let is_kept = !message.is_unknown_release() || self.sent_releases.len() < MAX_QUEUED_UNKNOWN_RELEASES;
+        let (QueuedMessage::Release(call) | QueuedMessage::UnknownRelease(call)) = message else { return };
+        if is_kept {
+            let expires_at = now + RELEASE_RETENTION;
+            self.sent_releases.insert(call, SentRelease { connection, bytes, expires_at });
+        }
+    }
+
+    /// Records that the exchange knows that a call is over.
+    pub fn on_release_confirmed(&mut self, call: &CallId) {
+        self.sent_releases.remove(call);
+    }
+
+    /// Returns the calls whose releases may have been lost with a connection.
+    pub fn lost_releases(&self, id: ConnectionId) -> Vec<CallId> {
+        let lost = self.sent_releases.iter().filter(|(_, release)| release.connection == id);
+        lost.map(|(call, _)| call.clone()).collect()
+    }
+
+    /// Sends a release again that may have been lost with its connection.
+    pub fn resend_release(&mut self, now: Duration, call: &CallId) {
+        let Some(SentRelease { bytes, expires_at, .. }) = self.sent_releases.remove(call) else { return };
+        self.send_release(now, call, bytes);
+        if let Some(release) = self.sent_releases.get_mut(call) {
+            release.expires_at = expires_at;
+        }
+    }
+
     /// Records a message on a connection. `call` is set if the message answers the set-up of that call.
     pub fn on_message(&mut self, now: Duration, id: ConnectionId, call: Option<&CallId>) {
         (self.last_received_at, self.is_unreachable) = (now, false);
@@ -291,7 +347,8 @@
     /// Closes connections that are of no further use: those with an incomplete line that has timed out, those
     /// that have stalled, and those to an exchange that is no longer listed. The latter are kept for a while
     /// if set-ups are open on them.
-    pub fn sweep(&self, now: Duration) {
+    pub fn sweep(&mut self, now: Duration) {
+        self.sent_releases.retain(|_, release| now < release.expires_at);
         let has_expired = |since: Option<Duration>, limit| since.is_some_and(|since| now >= since + limit);
         let is_removed = |c: &PooledConnection| {
             !self.is_listed && (c.open_set_ups.is_empty() || now >= self.removed_at + REMOVED_LINGER)
@@ -307,10 +364,11 @@
         }
     }
 
-    /// Removes the queued releases, which have become pointless.
-    fn drop_queued_releases(&mut self) {
+    /// Drops the releases, since their calls have ended with the exchange's process.
+    fn drop_releases(&mut self) {
         self.queue.retain(|(message, _)| message.set_up().is_some());
         self.queued_unknown_releases = 0;
+        self.sent_releases.clear();
     }
 
     /// Removes the queued set-ups, which were never sent, and returns their calls.
@@ -353,9 +411,10 @@
         (self.last_received_at, self.is_unreachable) = (now, false);
         let mut open_set_ups = BTreeSet::new();
         self.queued_unknown_releases = 0;
-        for (message, bytes) in self.queue.drain(..) {
+        for (message, bytes) in std::mem::take(&mut self.queue) {
             writes.enqueue(&bytes);
             open_set_ups.extend(message.set_up().cloned());
+            self.on_release_sent(now, id, message, bytes);
         }
         let silent_since = (!open_set_ups.is_empty()).then_some(now);
         if !self.is_listed && open_set_ups.is_empty() {
@@ -385,7 +444,7 @@
         let has_process_ended =
             failure == ConnectFailure::Refused && std::mem::take(&mut self.has_lost_connections);
         if has_process_ended {
-            self.drop_queued_releases(); // the calls to be released ended with the process
+            self.drop_releases();
         }
         (set_ups, has_process_ended)
     }
@@ -405,6 +464,7 @@
     /// Retires all connections because a new process has replaced the one that they led to.
     pub fn retire_connections(&mut self, now: Duration) {
         self.connections.iter_mut().for_each(|c| c.is_retired = true);
+        self.sent_releases.clear();
         (self.next_connect_at, self.connect_backoff) = (now, INITIAL_CONNECT_BACKOFF);
     }
 
--- a/src/net/platform/effects.rs
+++ b/src/net/platform/effects.rs
@@ -44,7 +44,7 @@
                     }
                     None => {
                         for pool in self.pools.values_mut().filter(|pool| pool.is_listed()) {
-                            pool.send_unknown_release(now, bytes.clone());
+                            pool.send_unknown_release(now, &call, bytes.clone());
                         }
                     }
                 }
--- a/src/net/platform/exchanges.rs
+++ b/src/net/platform/exchanges.rs
@@ -27,8 +27,10 @@
         let is_answer = matches!(message.verb.as_str(), "STARTED" | "FINISH");
         let Some(pool) = self.pools.get_mut(exchange) else { return };
         pool.on_message(now, connection, is_answer.then_some(&id));
-        if message.verb == "LOAD" {
-            pool.on_group_state(now, connection);
+        match message.verb.as_str() {
+            "LOAD" => pool.on_group_state(now, connection),
+            "FINISH" | "FINISHED" => pool.on_release_confirmed(&id),
+            _ => {}
         }
         let load_report =
             message.load.as_deref().map(|load| self.parse_load_report(load)).unwrap_or_default();
@@ -168,21 +170,34 @@
             "reason" => reason.as_str(), "end" => ?result);
         self.metrics.count_exchange_close(reason.as_str());
         let Some(pool) = self.pools.get_mut(exchange) else { return };
-        for id in pool.on_closed(now, id) {
+        for call in pool.on_closed(now, id) {
             // The set-up may have succeeded with its answer corrupted or cut off. Any call established there
             // is released before the next attempt, so that it does not hold circuits that nobody uses.
             let exchange_id = Some(exchange.clone());
             self.execute(Effect::ReleaseAtExchange {
                 exchange: exchange_id,
-                call: id.clone(),
+                call: call.clone(),
                 cause: CAUSE_NORMAL_CLEARING,
             });
-            self.on_attempt_connection_lost(exchange, &id, true);
+            self.on_attempt_connection_lost(exchange, &call, true);
         }
+        self.resend_releases_lost_with(exchange, id);
         self.connect_if_needed(exchange);
         self.flush();
     }
 
+    /// Sends the releases again that may have been lost with a connection to an exchange, which would otherwise
+    /// hold their circuits. A call that is still open may be set up there again, and is not released.
+    fn resend_releases_lost_with(&mut self, exchange: &ExchangeId, connection: ConnectionId) {
+        let now = self.clock.now();
+        let Some(pool) = self.pools.get_mut(exchange) else { return };
+        for call in pool.lost_releases(connection) {
+            if !self.core.calls.open.contains_key(&call) {
+                pool.resend_release(now, &call);
+            }
+        }
+    }
+
     /// Reports an attempt to the core whose connection has ended or was never opened.
     pub(super) fn on_attempt_connection_lost(
         &mut self,
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -364,7 +364,7 @@
             self.send_to_client(client, &sip::response(408, "", None, b""));
             self.clients.request_close(client, CloseReason::MessageTimeout);
         }
-        self.pools.values().for_each(|pool| pool.sweep(now));
+        self.pools.values_mut().for_each(|pool| pool.sweep(now));
         self.pools.retain(|_, pool| !pool.is_removable());
         let exchanges: Vec<ExchangeId> = self.pools.keys().cloned().collect();
         exchanges.iter().for_each(|e| self.connect_if_needed(e));
--- a/tests/exchange_pool.rs
+++ b/tests/exchange_pool.rs
@@ -164,8 +164,8 @@
 #[test]
 fn releases_of_unknown_calls_do_not_displace_those_of_known_ones() {
     let mut pool = ExchangePool::new(([127, 0, 0, 1], 1).into(), ms(250));
-    for _ in 0..5000 {
-        pool.send_unknown_release(ms(1000), vec![0; 10]);
+    for number in 0..5000 {
+        pool.send_unknown_release(ms(1000), &CallId(format!("{number}").into()), vec![0; 10]);
     }
     pool.send_release(ms(1000), &CallId("known".into()), vec![0; 7]);
     let writes = buffer();
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -12,6 +12,7 @@
 use quartzspindle::call::releases::{PendingReleases, ReleaseTask};
 use quartzspindle::interface::{CallId, ExchangeId};
 use rstest::rstest;
+use serde_json::json;
 
 const CALL: &str = "00000000000a0000";
 
@@ -153,6 +154,29 @@
     wait_until("another connection, for the releases of the other call", || connections() > before);
 }
 
+/// Guards against a caller's release that is lost with its connection to the exchange, which would hold the
+/// circuits until it ends the call itself.
+#[test]
+fn a_callers_release_that_is_lost_with_a_connection_is_sent_on_the_next_one() {
+    let exchange = Exchange::start();
+    let router = Router::start(&router_config(&[exchange.address]));
+    let mut client = router.connect_client();
+    client.wait_until_ready();
+    for (call, is_confirmed) in [("00000000000a0003", false), ("00000000000a0004", true)] {
+        let _ = establish_call(&exchange, &mut client, call);
+        client.send_request("BYE", call, "Reason: Q.850;cause=16\r\n", "");
+        let (release, stream, _) = exchange.receive("FINISH");
+        assert_eq!(release["tag"], call);
+        if is_confirmed {
+            send_message(&stream, &json!({"verb": "FINISHED", "tag": call, "opts": {}}));
+            thread::sleep(ms(100));
+        }
+        stream.shutdown(Shutdown::Both).unwrap();
+        let repeated = exchange.receive_within("FINISH", ms(700));
+        assert_eq!(repeated.map(|(release, ..)| release["tag"] == call), (!is_confirmed).then_some(true));
+    }
+}
+
 /// Guards against releases that are dropped when many calls end at once without a caller.
 #[test]
 fn many_releases_wait_for_a_client() {
