--- a/tests/clients.rs
+++ b/tests/clients.rs
@@ -30,15 +30,6 @@
     (exchange, router, client)
 }
 
-/// Establishes a call, so that the router knows the connection as one whose client serves calls.
-fn establish_call(exchange: &Exchange, client: &mut Client, call: &str) -> TcpStream {
-    client.send_invite(call, 1, 2000);
-    let (_, stream, _) = exchange.receive("START");
-    send_started(&stream, call);
-    assert!(client.receive().first_line.contains(" 200 "));
-    stream
-}
-
 /// Guards against a set-up that gets no answer because another client's open set-up has the same id, and
 /// against any effect on that one.
 #[test]
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -309,6 +309,16 @@
     send_message(stream, &json!({"verb": "FINISH", "tag": call, "opts": {"note": note}, "rc": cause}));
 }
 
+/// Establishes a call, so that the router knows the connection as one whose client serves calls. Returns the
+/// exchange's connection.
+pub fn establish_call(exchange: &Exchange, client: &mut Client, call: &str) -> TcpStream {
+    client.send_invite(call, 1, 2000);
+    let (_, stream, _) = exchange.receive("START");
+    send_started(&stream, call);
+    assert!(client.receive().first_line.contains(" 200 "));
+    stream
+}
+
 /// Returns a coordinator's listener, and its address as a value for the configuration.
 pub fn bind_coordinator() -> (TcpListener, Value) {
     let listener = TcpListener::bind(ephemeral_address()).unwrap();
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -139,10 +139,7 @@
     #[case] flood: Flood,
 ) {
     let (exchange, router, mut client) = start_router(memory_mb, sockets);
-    client.send_invite("00000000000000ff", 1, 2000);
-    let (_, stream, _) = exchange.receive("START");
-    send_started(&stream, "00000000000000ff");
-    assert!(client.receive().first_line.contains(" 200 "));
+    establish_call(&exchange, &mut client, "00000000000000ff");
     let (address, (sender, sent)) = (router.listen_address, channel());
     let start_flood = |number: usize| {
         let sender = sender.clone();
@@ -166,7 +163,6 @@
         assert!(answers.values().all(|count| *count == 1), "{answers:?}");
     }
     let (peak, limit) = (peak_memory(&router), memory_mb as usize * 1_000_000);
-    eprintln!("PEAK {peak} of {limit}");
     assert!(peak < limit, "{peak} bytes of {limit}");
 }
 
--- a/tests/releases.rs
+++ b/tests/releases.rs
@@ -33,15 +33,6 @@
     (exchange, router, stream)
 }
 
-/// Establishes a call. Returns the exchange's connection.
-fn establish_call(exchange: &Exchange, client: &mut Client, call: &str) -> TcpStream {
-    client.send_invite(call, 1, 2000);
-    let (_, stream, _) = exchange.receive("START");
-    send_started(&stream, call);
-    assert!(client.receive().first_line.contains(" 200 "));
-    stream
-}
-
 /// Places a call as a caller that is back, and waits for the release of the earlier call on its connection.
 fn expect_release_beside_a_call(exchange: &Exchange, router: &Router, call: &str) {
     let mut client = router.connect_client();
