Disconnect a client that reads none of what it is sent for 10 s, whatever it is owed

Only a client with too many other unsent bytes was disconnected when it read nothing. One that sends as many set-ups as are accepted, and then nothing, kept the memory of the answers to them until it went away; 16 MB for 1,000 set-ups with long headers. Ruled out: the idle time-out, which a short message every 20 s puts off.

Change: a connection on which bytes wait and none could be written for 10 s, longer than callers wait for an answer, is aborted (Connection::stalled_at in src/net/connection.rs), with a reason of its own in the log and in the metrics. Reading is paused as before.

--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -81,6 +81,8 @@
     Evicted,
     /// The peer read too slowly, so that too many bytes were waiting to be sent.
     WriteBufferFull,
+    /// The peer has read nothing for a long time.
+    WriteStalled,
     /// Group states arrived on other connections but not on this one.
     Stalled,
     /// The exchange is no longer listed.
@@ -102,6 +104,7 @@
             Self::Idle => "idle",
             Self::Evicted => "evicted",
             Self::WriteBufferFull => "write_buffer_full",
+            Self::WriteStalled => "write_stalled",
             Self::Stalled => "stalled",
             Self::Removed => "removed",
             Self::Shutdown => "shutdown",
@@ -141,9 +144,8 @@
 pub enum Overflow {
     /// The connection is aborted.
     Abort,
-    /// Nothing more is read until enough has been written, so that the peer causes no further answers. The
-    /// connection is aborted if nothing can be written for this long.
-    PauseReading(Duration),
+    /// Nothing more is read until enough has been written, so that the peer causes no further answers.
+    PauseReading,
 }
 
 /// Limits on the unsent bytes of a connection and on the time that its close may take.
@@ -155,6 +157,8 @@
     pub max_unsent: usize,
     /// What happens beyond these limits.
     pub overflow: Overflow,
+    /// Time without progress after which a connection with unsent bytes is aborted.
+    pub stall_timeout: Duration,
     /// Maximum time for writing the queued bytes when the connection is closed.
     pub flush_timeout: Duration,
     /// Time to wait after that for the peer to close its side. Unread bytes would turn the close into a
@@ -166,7 +170,8 @@
 pub const CLIENT_LIMITS: ConnectionLimits = ConnectionLimits {
     guaranteed_unsent: 48 * 1024,
     max_unsent: 1024 * 1024,
-    overflow: Overflow::PauseReading(Duration::from_secs(5)),
+    overflow: Overflow::PauseReading,
+    stall_timeout: Duration::from_secs(10),
     flush_timeout: Duration::from_millis(500),
     linger: Duration::from_millis(100),
 };
@@ -176,6 +181,7 @@
     guaranteed_unsent: 256 * 1024,
     max_unsent: 2 * 1024 * 1024,
     overflow: Overflow::Abort,
+    stall_timeout: Duration::MAX,
     flush_timeout: Duration::from_millis(20),
     linger: Duration::ZERO,
 };
@@ -247,18 +253,9 @@
         is_over_guarantee && (unsent > self.limits.max_unsent || !self.account.allows(added))
     }
 
-    /// Returns for how long the connection may stay without progress, if so many bytes are unsent that
-    /// reading is paused.
-    fn reading_pause(&self) -> Option<Duration> {
-        match self.limits.overflow {
-            Overflow::PauseReading(stall_timeout) if self.exceeds_limits(0) => Some(stall_timeout),
-            _ => None,
-        }
-    }
-
     /// Returns whether nothing is read because too many bytes are unsent.
     pub fn is_reading_paused(&self) -> bool {
-        self.reading_pause().is_some()
+        self.limits.overflow == Overflow::PauseReading && self.exceeds_limits(0)
     }
 
     /// Closes the connection once the queued bytes have been written.
@@ -336,7 +333,7 @@
         is_reading: true,
         output: Vec::new(),
         written: 0,
-        paused_since: None,
+        last_progress_at: tokio::time::Instant::now(),
     };
     let result = connection.run().await;
     writes.is_finished.set(true);
@@ -355,8 +352,8 @@
     output: Vec<u8>,
     /// Number of bytes of `output` already written.
     written: usize,
-    /// Time since which reading has been paused and nothing has been written.
-    paused_since: Option<tokio::time::Instant>,
+    /// Time at which bytes were last written, or none were left.
+    last_progress_at: tokio::time::Instant,
 }
 
 impl<F: FnMut(&[u8]) -> ControlFlow<()>> Connection<'_, F> {
@@ -364,10 +361,10 @@
     async fn run(&mut self) -> io::Result<()> {
         while self.writes.is_open() {
             self.take_queued();
-            let stalled_at = self.update_pause();
+            let stalled_at = self.stalled_at();
             tokio::select! {
                 received = receive(&mut self.reader, &mut self.on_bytes),
-                    if self.is_reading && stalled_at.is_none() =>
+                    if self.is_reading && !self.writes.is_reading_paused() =>
                 {
                     let Some(flow) = received? else {
                         self.try_flush();
@@ -385,20 +382,20 @@
                     }
                 }
                 () = self.writes.changed.notified() => {}
-                () = sleep_until(stalled_at) => self.writes.abort(CloseReason::WriteBufferFull),
+                () = sleep_until(stalled_at) => self.writes.abort(CloseReason::WriteStalled),
             }
         }
         self.finish().await
     }
 
-    /// Pauses reading while too many bytes are unsent. Returns when the connection is to be aborted if nothing
-    /// is written until then, or `None` if reading is not paused.
-    fn update_pause(&mut self) -> Option<tokio::time::Instant> {
-        let Some(stall_timeout) = self.writes.reading_pause() else {
-            self.paused_since = None;
+    /// Returns when the connection is to be aborted if nothing is written until then; `None` if there is nothing
+    /// to write or no limit.
+    fn stalled_at(&mut self) -> Option<tokio::time::Instant> {
+        if !self.has_output() {
+            self.last_progress_at = tokio::time::Instant::now();
             return None;
-        };
-        Some(*self.paused_since.get_or_insert_with(tokio::time::Instant::now) + stall_timeout)
+        }
+        self.last_progress_at.checked_add(self.writes.limits.stall_timeout)
     }
 
     fn has_output(&self) -> bool {
@@ -416,7 +413,7 @@
 
     fn on_written(&mut self, n: usize) {
         self.written += n;
-        self.paused_since = None;
+        self.last_progress_at = tokio::time::Instant::now();
         self.writes.on_sent(n);
     }
 
