Keep the memory limit when a reload allows more client connections

A reload applies limits.sockets at once (Platform::reload), and each further connection has its reserve for open requests; the amount that all share was computed for the number at the start. Ruled out: the number of open requests (its reserves are small) and the connections' buffers (48 KB each at most). Change: set_limit reduces what all share by the reserves of the further connections (src/net/client_connections.rs). Result: a_higher_limit_on_connections_leaves_less_memory_to_share in tests/memory.rs; there was no such function before.

--- a/src/call/budget.rs
+++ b/src/call/budget.rs
@@ -24,7 +24,7 @@
 /// The amount that all holders share.
 #[derive(Debug)]
 pub struct Budget {
-    limits: BudgetLimits,
+    limits: Cell<BudgetLimits>,
     /// Amount taken beyond the reserves.
     shared_in_use: Cell<usize>,
 }
@@ -32,7 +32,17 @@
 impl Budget {
     /// Creates a budget from which nothing has been taken.
     pub fn new(limits: BudgetLimits) -> Rc<Self> {
-        Rc::new(Self { limits, shared_in_use: Cell::new(0) })
+        Rc::new(Self { limits: Cell::new(limits), shared_in_use: Cell::new(0) })
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> BudgetLimits {
+        self.limits.get()
+    }
+
+    /// Changes the amount that all holders share. Their reserves stay as they are.
+    pub fn set_shared(&self, shared: usize) {
+        self.limits.set(BudgetLimits { shared, ..self.limits.get() });
     }
 
     /// Returns the amount taken beyond the reserves of the holders.
@@ -42,7 +52,7 @@
 
     /// Returns how much of a holder's amount is beyond its reserve.
     fn beyond_reserve(&self, held: usize) -> usize {
-        held.saturating_sub(self.limits.reserve_per_holder)
+        held.saturating_sub(self.limits.get().reserve_per_holder)
     }
 }
 
@@ -67,7 +77,7 @@
 
     /// Returns whether the holder may take `amount` more.
     pub fn allows(&self, amount: usize) -> bool {
-        let (limits, budget) = (&self.budget.limits, &self.budget);
+        let (limits, budget) = (self.budget.limits.get(), &self.budget);
         let held_after = budget.beyond_reserve(self.held.get() + amount);
         let in_use_after = budget.shared_in_use() + held_after - budget.beyond_reserve(self.held.get());
         let kept = if self.is_preferred.get() { 0 } else { limits.preferred };
--- a/src/call/memory.rs
+++ b/src/call/memory.rs
@@ -63,13 +63,19 @@
         .clamp(MIN_REQUEST_RESERVE, MAX_REQUEST_RESERVE)
         .min(equal_part / MAX_REQUEST_RESERVE_DIVISOR);
     BudgetLimits {
-        shared: total - reserve * max_connections,
+        shared: shared_request_memory(memory_limit, max_connections, reserve),
         preferred: total / PREFERRED_REQUEST_DIVISOR,
         reserve_per_holder: reserve,
         free_multiple: REQUEST_FREE_MULTIPLE,
     }
 }
 
+/// Returns the memory in bytes that the open requests of `max_connections` client connections share, if each of
+/// them has this reserve.
+pub fn shared_request_memory(memory_limit: usize, max_connections: usize, reserve: usize) -> usize {
+    (memory_limit / REQUEST_DIVISOR).saturating_sub(reserve * max_connections)
+}
+
 /// Returns the limits, in bytes, on the buffers of `max_connections` client connections.
 pub fn client_buffer_memory(memory_limit: usize, max_connections: usize) -> BudgetLimits {
     let reserve = memory_limit / CLIENT_BUFFER_RESERVE_DIVISOR / max_connections.max(1);
--- a/src/net/client_connections.rs
+++ b/src/net/client_connections.rs
@@ -6,7 +6,7 @@
 
 use super::connection::{CloseReason, SharedWriteBuffer};
 use crate::call::budget::{Account, Budget, BudgetLimits, Charge};
-use crate::call::memory::OPEN_REQUESTS;
+use crate::call::memory::{shared_request_memory, OPEN_REQUESTS};
 use crate::interface::CallId;
 
 /// Number of connections beyond the limit that may still be closing.
@@ -131,7 +131,7 @@
 pub struct ClientConnections {
     open: BTreeMap<u64, ClientConnection>,
     /// Maximum number of connections.
-    pub limit: usize,
+    limit: usize,
     /// Number of open requests on all connections.
     request_count: Rc<Budget>,
     /// Memory of the open requests on all connections, and of the answers to them.
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Changes the maximum number of connections, and what is left of the memory limit, in bytes, beyond the
+    /// reserves of that many.
+    pub fn set_limit(&mut self, limit: usize, memory_limit: usize) {
+        self.limit = limit;
+        let reserve = self.request_memory.limits().reserve_per_holder;
+        self.request_memory.set_shared(shared_request_memory(memory_limit, limit, reserve));
+    }
+
     /// Adds a new connection. Returns false if there are too many.
     ///
     /// At the limit, the least useful idle connection is evicted. Connections that are still closing may
--- a/src/net/platform/mod.rs
+++ b/src/net/platform/mod.rs
@@ -90,6 +90,8 @@
     client_budget: Rc<Budget>,
     /// Unsent bytes on all connections to exchanges and to the coordinator.
     server_budget: Rc<Budget>,
+    /// Memory limit in bytes, as it was at the start.
+    memory_limit: usize,
     client_limits: ConnectionLimits,
     server_limits: ConnectionLimits,
     /// Hold-off in milliseconds for callers that are refused without a hold-off from the controller.
@@ -155,6 +157,7 @@
                 is_stopped: false,
                 client_budget: Budget::new(client_memory),
                 server_budget: Budget::new(server_memory),
+                memory_limit: config.memory_limit,
                 client_limits: within_reserve(connection::CLIENT_LIMITS, client_memory),
                 server_limits: within_reserve(connection::SERVER_LIMITS, server_memory),
                 hold_off: limits.hold_off_allowed.then_some(limits.max_hold_off.as_millis()),
@@ -185,7 +188,7 @@
     /// asked for the events after the last one received. Without one, the membership of the file applies.
     pub fn reload(&mut self, config: &Config) {
         (self.peers, self.peers_all) = (config.peers.clone(), config.peers_all);
-        self.clients.limit = max_client_connections(config);
+        self.clients.set_limit(max_client_connections(config), self.memory_limit);
         if config.coordinator.is_none() {
             self.apply_known_updates(config);
         }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -15,7 +15,7 @@
 use harness::*;
 use quartzspindle::call::budget::{Account, Budget, BudgetLimits};
 use quartzspindle::call::calls::Calls;
-use quartzspindle::call::memory::{request_memory, OPEN_REQUESTS, REQUEST_OVERHEAD};
+use quartzspindle::call::memory::{request_memory, shared_request_memory, OPEN_REQUESTS, REQUEST_OVERHEAD};
 use quartzspindle::interface::CallId;
 use rstest::rstest;
 use serde_json::json;
@@ -227,6 +227,17 @@
     }
 }
 
+/// Guards against a reload that allows more connections, whose reserves would come on top of the memory that all
+/// share.
+#[test]
+fn a_higher_limit_on_connections_leaves_less_memory_to_share() {
+    let limits = request_memory(32_000_000, 153);
+    let budget = Budget::new(limits);
+    budget.set_shared(shared_request_memory(32_000_000, 300, limits.reserve_per_holder));
+    assert_eq!(budget.limits().reserve_per_holder, limits.reserve_per_holder);
+    assert_eq!(budget.limits().shared + 300 * limits.reserve_per_holder, 16_000_000);
+}
+
 /// Guards against clients that take everything one after the other: each other one still has its reserve, and
 /// one that serves calls finds room for hundreds of usual requests.
 #[rstest]
