Move the controller's state of exchanges, nodes and calls to a file of its own

Cause: src/policy/mod.rs had grown to 1,060 lines, a sixth of them types that the decisions are read beside; the hash of a text stood in the controller and in the core. No logic is changed.

--- a/src/call/calls.rs
+++ b/src/call/calls.rs
@@ -1,12 +1,11 @@
 //! Open calls (unanswered requests and established calls) and the ids of calls that ended recently.
 
 use std::collections::{HashMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::timers::TimerKey;
-use crate::interface::{CallId, ExchangeId};
+use crate::interface::{hash_text, CallId, ExchangeId};
 
 /// Source of a request; the front end assigns the number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -32,13 +31,6 @@
     pub description: Arc<str>,
 }
 
-/// Returns a hash by which two session descriptions are compared once the text itself is no longer kept.
-pub fn hash_description(description: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    description.hash(&mut hasher);
-    hasher.finish()
-}
-
 /// An open call.
 #[derive(Debug)]
 pub struct Call {
@@ -67,7 +59,7 @@
 impl Call {
     /// Returns whether the call was requested with this session description.
     pub fn has_description(&self, description: &str) -> bool {
-        self.description_hash == hash_description(description)
+        self.description_hash == hash_text(description)
     }
 }
 
--- a/src/call/core.rs
+++ b/src/call/core.rs
@@ -8,12 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::calls::{hash_description, Attempt, Call, Calls, Origin, SetUpText};
+use super::calls::{Attempt, Call, Calls, Origin, SetUpText};
 use super::exchanges::Exchanges;
 use super::timers::{TimerKey, TimerQueue};
 use crate::interface::{
-    Action, AttemptStatus, CallId, Event, ExchangeId, FailureCause, Member, OfferedCall, Outcome, TimerToken,
-    UpdateKind,
+    hash_text, Action, AttemptStatus, CallId, Event, ExchangeId, FailureCause, Member, OfferedCall, Outcome,
+    TimerToken, UpdateKind,
 };
 use crate::Controller;
 
@@ -249,7 +249,7 @@
         let call = Call {
             origin: request.origin,
             class: offered.class,
-            description_hash: hash_description(&request.description),
+            description_hash: hash_text(&request.description),
             set_up: Some(SetUpText {
                 called_number: offered.called_number.clone(),
                 description: request.description,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,6 +9,7 @@
 //! membership is the set of exchanges with their nodes, zones, states and starts; the membership source (for
 //! the router, the coordinator) sends its updates.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -235,6 +236,14 @@
     Failed,
 }
 
+/// Returns a hash of a text, by which it is recognized once the text itself is no longer kept. It is the same in
+/// each process, so that the same events give the same actions.
+pub fn hash_text(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// A call that a caller asks for.
 #[derive(Debug, Clone)]
 pub struct OfferedCall {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,9 +1,9 @@
 //! The decisions of a call router: admission, routing, repeated attempts and final answers.
 //!
 //! The types of its settings, events and actions are defined in `src/interface.rs`. This file holds the
-//! constants, the state kept for each exchange and node, and then the processing of a call in order.
-//! `control` limits the rate of accepted calls, `window` limits the unanswered set-ups toward one processor,
-//! and [`shutdown`] defines the schedule of a stopping router.
+//! constants, and then the processing of a call in order. `state` holds what is known of each exchange, node
+//! and call, `control` limits the rate of accepted calls, `window` limits the unanswered set-ups toward one
+//! processor, and [`shutdown`] defines the schedule of a stopping router.
 //!
 //! Comments refer to five rules that every decision keeps:
 //!
@@ -15,15 +15,16 @@
 
 mod control;
 pub mod shutdown;
+mod state;
 mod window;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 pub use control::AdmissionControl;
 use control::{CYCLE_LENGTH, LEARNING_PERIOD, MIN_SAFE_RATE, OFFERED_RATE_SMOOTHING};
+use state::{Attempt, Call, Exchange, NodeState, NumberKey};
 use window::{Window, FAILURE_FACTOR, FAST_ANSWER, INITIAL_WINDOW, SLOW_ANSWER};
 
 use crate::interface::*;
@@ -90,122 +91,6 @@
 /// Token of the periodic timer; call timers use the tokens from 1 on.
 const CYCLE_TIMER: TimerToken = TimerToken(0);
 
-/// State of an exchange in the membership.
-#[derive(Debug)]
-struct Exchange {
-    node: NodeNumber,
-    health: Health,
-    /// Time at which the exchange is warm. Until then rule 4 limits the set-ups sent to it.
-    warm_at: f64,
-    /// Times of the set-ups sent to it while cold, within the window of rule 4.
-    cold_send_times: Vec<f64>,
-}
-
-/// State of a node, which is the exchange or pool of one number.
-#[derive(Debug, Default)]
-struct NodeState {
-    window: Window,
-    /// Whether the last log line about this node reported its window as closed.
-    closed_window_logged: bool,
-    /// Highest allowed rate reported by the processor, in set-ups per second, decaying slowly.
-    best_allowed_rate: f64,
-    /// Smoothed set-up time in seconds.
-    set_up_time: f64,
-    /// Whether a set-up has become overdue since the last one was established.
-    has_overdue_set_up: bool,
-    /// Smoothed share of set-ups that were lost.
-    loss_share: f64,
-    /// Tandems used for calls to this node, each with the length of its last pause and the end of that pause.
-    /// The length is 0 if the last call over the tandem was established.
-    tandems: BTreeMap<NodeNumber, (f64, f64)>,
-    /// Free circuits toward this node; `None` until they are reported.
-    free_circuits: Option<f64>,
-    /// Whether free circuits have been reported on a change, outside of attempt outcomes.
-    free_circuits_pushed: bool,
-    /// Time of the last set-up sent.
-    last_send_at: f64,
-    /// Circuits seized by the set-ups sent at `last_send_at`.
-    last_send_circuits: f64,
-    /// Smoothed share of calls that found no free circuit on the direct route.
-    blocking: f64,
-    /// Set-ups sent in this cycle.
-    sent_in_cycle: f64,
-    /// Smoothed rate of set-ups sent while the node was warm and answering, per second. A short flood of
-    /// calls changes it little.
-    sent_rate: f64,
-}
-
-/// Hash of a called number, under which it is remembered: the text itself may be as long as a message. It is
-/// the same in each process, so that the same events give the same actions.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct NumberKey(u64);
-
-impl NumberKey {
-    fn new(number: &str) -> Self {
-        let mut hasher = DefaultHasher::new();
-        number.hash(&mut hasher);
-        Self(hasher.finish())
-    }
-}
-
-/// The outstanding attempt of a call, or the one that established it.
-#[derive(Debug)]
-struct Attempt {
-    node: NodeNumber,
-    sent_at: f64,
-    /// Whether it counts as unanswered in the windows.
-    counted_in_window: bool,
-    /// Whether it has been unanswered for longer than `OVERDUE_MULTIPLE` usual set-up times.
-    is_overdue: bool,
-    /// Whether it is taken to be lost on the way, so that its silence does not shrink the node's window.
-    presumed_lost: bool,
-}
-
-/// A call without a final answer, or an established one.
-#[derive(Debug)]
-struct Call {
-    /// Called number.
-    number: NumberKey,
-    /// Destination node, or the pool of first choice.
-    destination: NodeNumber,
-    /// Whether the call is in transit: it is sent to its destination or refused, and over no other tandem.
-    is_transit: bool,
-    /// Index of the class, limited to the classes of the settings.
-    class: usize,
-    /// Circuits that the call seizes.
-    circuits: f64,
-    /// Time at which the caller gives up.
-    deadline: f64,
-    /// Latency objective of the class in seconds.
-    latency_objective: f64,
-    /// Time of the caller's first try. The call has its full value if it is established within the latency
-    /// objective from then on.
-    first_dialled_at: f64,
-    /// Time until which the call may be held for a window or for admission; it is refused then.
-    hold_until: f64,
-    attempts_made: u32,
-    attempt: Option<Attempt>,
-    /// Earliest time of the next attempt (rule 5).
-    not_before: f64,
-    /// Whether an attempt may have run although the class is not safe to repeat. The call is then not sent
-    /// again, and its final answer can only be [`Action::Fail`].
-    repeat_forbidden: bool,
-    is_established: bool,
-    /// Whether the call has been counted in the blocking of its destination.
-    blocking_recorded: bool,
-    /// Nodes to which the call has been sent since its last pause.
-    tried_nodes: Vec<NodeNumber>,
-    /// Timers of the call that have not expired.
-    timers: Vec<TimerToken>,
-}
-
-impl Call {
-    /// Returns whether the call is held and its next attempt may be made.
-    fn is_ready_to_send(&self, now: f64) -> bool {
-        self.attempt.is_none() && !self.is_established && now >= self.not_before
-    }
-}
-
 /// Makes the decisions of one router. The crate documentation shows how it fits into the programs.
 ///
 /// Times are seconds on the host's clock.
