Tell a caller who connects of all calls that have ended, not only of 512

A new client was sent 512 pending releases at once; the others, which waited without a timer, were sent only when another client came: of 1,500 calls that had ended without a caller, one who connected was told of 512. Each disconnect and each check of an exchange went through all pending releases, which bad clients that connect again and again could have made costly. Ruled out: the retry timers (only a release that was sent has one).

Untold releases are counted by exchange, and those on a connection found by it.

--- a/src/call/releases.rs
+++ b/src/call/releases.rs
@@ -19,8 +19,10 @@
 /// Time for which a release is kept that could be sent to no client that serves calls.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Maximum number of releases sent at once because a client has connected, has disconnected, or has shown that
-/// it serves calls. The others follow when they are due to be repeated.
-const MAX_SENDS_PER_CLIENT_EVENT: usize = 512;
+/// it serves calls.
+const MAX_SENDS_PER_CLIENT_EVENT: usize = 64;
+/// Maximum number of releases sent at once because they are on no open connection.
+const MAX_SENDS_PER_SWEEP: usize = 512;
 
 /// An ended call whose release is pending.
 #[derive(Debug)]
@@ -60,9 +62,11 @@
         }
     }
 
-    fn next_repeat_at(&self) -> Duration {
+    /// Returns when the release is to be repeated. One that is on no open connection has no such time.
+    fn next_repeat_at(&self) -> Option<Duration> {
         let factor = 1_u32.checked_shl(self.repeats).unwrap_or(u32::MAX);
-        self.last_sent_at + FIRST_RETRY.saturating_mul(factor).min(MAX_RETRY)
+        let interval = FIRST_RETRY.saturating_mul(factor).min(MAX_RETRY);
+        (!self.sent_on.is_empty()).then_some(self.last_sent_at + interval)
     }
 }
 
@@ -82,6 +86,12 @@
     timers: TimerQueue<CallId>,
     /// Releases that no client which serves calls has been sent, with the time of the last send.
     untold: BTreeSet<(Duration, CallId)>,
+    /// Those of them that are on no open connection.
+    unsent: BTreeSet<(Duration, CallId)>,
+    /// Number of untold releases of the calls at each exchange.
+    untold_by_exchange: BTreeMap<ExchangeId, usize>,
+    /// Releases that were sent on each open connection.
+    sent_by_client: BTreeMap<u64, BTreeSet<CallId>>,
 }
 
 impl PendingReleases {
@@ -109,8 +119,8 @@
             repeats: 0,
             timer,
         };
-        self.untold.insert((last_sent_at, call.clone()));
         self.releases.insert(call.clone(), release);
+        self.add_to_indexes(call);
         true
     }
 
@@ -131,32 +141,23 @@
 
     /// Returns whether a call of this exchange has ended whose release was sent to no client that serves calls.
     pub fn has_untold_of(&self, exchange: &ExchangeId) -> bool {
-        let mut untold = self.untold.iter().filter_map(|(_, call)| self.releases.get(call));
-        untold.any(|release| release.exchange == *exchange)
+        self.untold_by_exchange.contains_key(exchange)
     }
 
     /// Records that a release was sent on a connection, whose client is known to serve calls or not.
     pub fn on_sent(&mut self, now: Duration, call: &CallId, client: u64, serves_calls: bool) {
-        let Some(release) = self.releases.get_mut(call) else { return };
-        self.untold.remove(&(release.last_sent_at, call.clone()));
-        release.repeats += u32::from(!release.sent_on.is_empty());
-        release.sent_on.insert(client, serves_calls);
-        release.last_sent_at = now;
-        if !release.is_told() {
-            self.untold.insert((now, call.clone()));
+        self.change(call, |release| {
+            release.repeats += u32::from(!release.sent_on.is_empty());
+            release.sent_on.insert(client, serves_calls);
+            release.last_sent_at = now;
+        });
+        if self.releases.contains_key(call) {
+            self.sent_by_client.entry(client).or_default().insert(call.clone());
         }
-        self.reschedule(call);
     }
 
-    /// Records that no client is connected to which a release could be sent. It waits for the next one.
-    pub fn on_no_client(&mut self, call: &CallId) {
-        let Some(release) = self.releases.get_mut(call) else { return };
-        self.timers.cancel(release.timer);
-        release.timer = self.timers.schedule(release.expires_at(), call.clone());
-    }
-
-    /// Records a confirmation. It counts only on a connection on which the release was sent. Returns
-    /// the exchange of the call if the release is done.
+    /// Records a confirmation. It counts only on a connection on which the release was sent. Returns the exchange
+    /// of the call if the release is done.
     pub fn on_confirmed(&mut self, call: &CallId, client: u64) -> Option<ExchangeId> {
         self.releases.get(call).filter(|release| release.was_sent_on(client))?;
         self.remove(call)
@@ -165,38 +166,38 @@
     /// Removes the release of a call of which its caller knows that it is over. Returns the exchange of the
     /// call, or `None` if no release was pending.
     pub fn remove(&mut self, call: &CallId) -> Option<ExchangeId> {
+        self.remove_from_indexes(call);
         let release = self.releases.remove(call)?;
         self.timers.cancel(release.timer);
-        self.untold.remove(&(release.last_sent_at, call.clone()));
+        for client in release.sent_on.keys() {
+            if let Some(sent) = self.sent_by_client.get_mut(client) {
+                sent.remove(call);
+            }
+        }
         Some(release.exchange)
     }
 
     /// Records the end of a connection. Returns the releases that may have been lost with it and are to be
     /// sent on another one at once.
     pub fn on_disconnected(&mut self, client: u64) -> Vec<CallId> {
-        let mut lost = Vec::new();
-        for (call, release) in &mut self.releases {
-            if release.sent_on.remove(&client).is_some() && !release.is_told() {
-                lost.push(call.clone());
-                self.untold.insert((release.last_sent_at, call.clone()));
-            }
+        let mut lost: Vec<CallId> = self.sent_by_client.remove(&client).into_iter().flatten().collect();
+        for call in &lost {
+            self.change(call, |release| {
+                release.sent_on.remove(&client);
+            });
         }
-        lost.iter().for_each(|call| self.reschedule(call));
+        lost.retain(|call| self.releases.get(call).is_some_and(|release| !release.is_told()));
         lost.truncate(MAX_SENDS_PER_CLIENT_EVENT);
         lost
     }
 
     /// Records that the client of a connection is now known to serve calls.
     pub fn on_client_serves_calls(&mut self, client: u64) {
-        let mut told = Vec::new();
-        for (call, release) in &mut self.releases {
-            if let Some(serves_calls) = release.sent_on.get_mut(&client) {
-                *serves_calls = true;
-                told.push(call.clone());
-                self.untold.remove(&(release.last_sent_at, call.clone()));
-            }
+        for call in self.sent_by_client.get(&client).cloned().unwrap_or_default() {
+            self.change(&call, |release| {
+                release.sent_on.insert(client, true);
+            });
         }
-        told.iter().for_each(|call| self.reschedule(call));
     }
 
     /// Returns the releases to be sent at once on a connection that is new, or whose client is now known to
@@ -207,6 +208,11 @@
         due.take(MAX_SENDS_PER_CLIENT_EVENT).cloned().collect()
     }
 
+    /// Returns some of the releases that are on no open connection, to be sent if any client is connected.
+    pub fn due_for_any_client(&self) -> Vec<CallId> {
+        self.unsent.iter().take(MAX_SENDS_PER_SWEEP).map(|(_, call)| call.clone()).collect()
+    }
+
     /// Removes and returns a release whose repeat or whose end is due.
     pub fn pop_due(&mut self, now: Duration) -> Option<ReleaseTask> {
         let call = self.timers.pop_due(now)?;
@@ -218,11 +224,42 @@
         Some(ReleaseTask::Done(call, exchange))
     }
 
-    /// Schedules the next repeat of a release, or its end if that comes first.
-    fn reschedule(&mut self, call: &CallId) {
-        let Some(release) = self.releases.get_mut(call) else { return };
-        self.timers.cancel(release.timer);
-        let due_at = release.next_repeat_at().min(release.expires_at());
-        release.timer = self.timers.schedule(due_at, call.clone());
+    /// Changes a release, and with it its place in the indexes and its timer: the next repeat, or the end if
+    /// that comes first.
+    fn change(&mut self, call: &CallId, change: impl FnOnce(&mut PendingRelease)) {
+        self.remove_from_indexes(call);
+        if let Some(release) = self.releases.get_mut(call) {
+            change(release);
+            self.timers.cancel(release.timer);
+            let expires_at = release.expires_at();
+            let due_at = release.next_repeat_at().map_or(expires_at, |at| at.min(expires_at));
+            release.timer = self.timers.schedule(due_at, call.clone());
+        }
+        self.add_to_indexes(call);
+    }
+
+    fn add_to_indexes(&mut self, call: &CallId) {
+        let Some(release) = self.releases.get(call).filter(|release| !release.is_told()) else { return };
+        let entry = (release.last_sent_at, call.clone());
+        if release.sent_on.is_empty() {
+            self.unsent.insert(entry.clone());
+        }
+        if self.untold.insert(entry) {
+            *self.untold_by_exchange.entry(release.exchange.clone()).or_default() += 1;
+        }
+    }
+
+    fn remove_from_indexes(&mut self, call: &CallId) {
+        let Some(release) = self.releases.get(call) else { return };
+        let entry = (release.last_sent_at, call.clone());
+        self.unsent.remove(&entry);
+        if !self.untold.remove(&entry) {
+            return;
+        }
+        let count = self.untold_by_exchange.entry(release.exchange.clone()).or_default();
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.untold_by_exchange.remove(&release.exchange);
+        }
     }
 }
--- a/src/net/platform/releases.rs
+++ b/src/net/platform/releases.rs
@@ -20,9 +20,8 @@
     /// Sends a pending release on the best connection. Without any, it waits for the next client.
     fn send_release(&mut self, call: &CallId) {
         let Some(release) = self.releases.get(call) else { return };
-        match self.clients.select_for_release(release.client, |id| release.was_sent_on(id)) {
-            Some(client) => self.send_release_on(client, call),
-            None => self.releases.on_no_client(call),
+        if let Some(client) = self.clients.select_for_release(release.client, |id| release.was_sent_on(id)) {
+            self.send_release_on(client, call);
         }
     }
 
@@ -53,8 +52,13 @@
         }
     }
 
-    /// Repeats the releases that are due, and finishes those that are done.
+    /// Sends the releases that are on no open connection, repeats those that are due, and finishes those that
+    /// are done.
     pub(super) fn run_due_releases(&mut self, now: Duration) {
+        if !self.clients.is_empty() {
+            let unsent = self.releases.due_for_any_client();
+            unsent.iter().for_each(|call| self.send_release(call));
+        }
         while let Some(task) = self.releases.pop_due(now) {
             match task {
                 ReleaseTask::Send(call) => self.send_release(&call),
