--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::pin::Pin;
@@ -499,8 +500,8 @@
     on_bytes: &mut impl FnMut(&[u8]) -> ControlFlow<()>,
 ) -> io::Result<Option<ControlFlow<()>>> {
     poll_fn(|context| {
-        let mut input = [0; READ_SIZE];
-        let mut buffer = ReadBuf::new(&mut input);
+        let mut input = [MaybeUninit::uninit(); READ_SIZE];
+        let mut buffer = ReadBuf::uninit(&mut input);
         ready!(Pin::new(&mut *reader).poll_read(context, &mut buffer))?;
         let bytes = buffer.filled();
         Poll::Ready(Ok(if bytes.is_empty() { None } else { Some(on_bytes(bytes)) }))
