Review case 7: a connection maximum releases calls that still stand

It takes the place of the case of refused connections, which stays in the stand-ins' program as 'refused'.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -20,6 +20,7 @@
         "reload" => reload(),
         "drain" => drain(),
         "crowded" => crowded(),
+        "full" => full(),
         "refused" => refused(),
         "forgotten" => forgotten(),
         "vrrp" => vrrp(),
@@ -250,19 +251,51 @@
         number += 1;
         wait_ms(200);
     }
-    let mut cut = 0;
+    Ok(report_wrong_releases(&client, &calls, &second))
+}
+
+/// An exchange takes two connections from the router and no more, and is quiet while calls stand there.
+fn full() -> CaseResult {
+    let (first, second, listen) = (Exchange::start(0x11, 1)?, Exchange::start(0x12, 2)?, free_address()?);
+    if context().has_trouble {
+        second.max_connections.store(2, SeqCst);
+    }
+    let events = [known_event(1, true, &[first.host("active"), second.host("active")])];
+    let router = Router::start("n0", listen, &config(listen, &events, "", &settings(4, 600_000)), false)?;
+    router.wait_ready()?;
+    first.hold_ms.store(2000, SeqCst);
+    let client = Client::connect("client", listen)?;
+    let calls: Vec<String> = (0..4).map(call_id).collect();
     for call in &calls {
-        let is_own_end = second.was_released_by_router(call) || !second.stands(call);
-        if client.released_at(call).is_some() && !is_own_end {
-            cut += 1;
-            note(&format!(
-                "call {call} was released towards its client and still stands at {}",
-                second.name()
-            ));
-        }
+        establish(&client, call, &second)?;
     }
-    note(&format!("{cut} of {} standing calls were released though no side had ended them", calls.len()));
-    Ok(cut == 0)
+    // Other calls go to the other exchange.
+    let start = Instant::now();
+    let mut number = 10;
+    while start.elapsed() < Duration::from_secs(12) {
+        client.invite(&call_id(number), 1, RING_MS);
+        number += 1;
+        wait_ms(200);
+    }
+    note(&format!("{} has {} connections of the router open", second.name(), second.open_connections()));
+    Ok(report_wrong_releases(&client, &calls, &second))
+}
+
+/// Returns whether no call was released towards its client that stands at its exchange and that no side had
+/// ended.
+fn report_wrong_releases(client: &Client, calls: &[String], exchange: &Exchange) -> bool {
+    let stands = |call: &&String| exchange.stands(call) && !exchange.was_released_by_router(call);
+    let wrong: Vec<_> =
+        calls.iter().filter(|call| client.released_at(call).is_some()).filter(stands).collect();
+    for call in &wrong {
+        note(&format!("call {call} was released towards its client and still stands at {}", exchange.name()));
+    }
+    note(&format!(
+        "{} of {} standing calls were released though no side had ended them",
+        wrong.len(),
+        calls.len()
+    ));
+    wrong.is_empty()
 }
 
 /// The router is killed and started again. An exchange at which a call stands then forgets the router's idle
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -275,6 +275,8 @@
     last_connection: AtomicU64,
     /// Whether new connections are refused: the exchange has as many as it takes.
     pub is_refusing: AtomicBool,
+    /// Number of connections that the exchange takes; 0 for any. Further ones do not come up.
+    pub max_connections: AtomicU64,
     /// Time from a set-up to its answer in milliseconds.
     pub answer_ms: AtomicU64,
     /// Length of a call in milliseconds; 0 if calls end only with [`Exchange::end_call`].
@@ -297,6 +299,7 @@
             state: Mutex::default(),
             last_connection: AtomicU64::new(0),
             is_refusing: AtomicBool::new(false),
+            max_connections: AtomicU64::new(0),
             answer_ms: AtomicU64::new(15),
             hold_ms: AtomicU64::new(0),
             idle_ms: AtomicU64::new(0),
@@ -325,6 +328,10 @@
                 listener = TcpListener::bind(self.address).ok();
                 listener.iter().for_each(|l| drop(l.set_nonblocking(true)));
             }
+            let max = self.max_connections.load(SeqCst);
+            if max > 0 && lock(&self.state).connections.len() as u64 >= max {
+                return self.leave_pending(listener);
+            }
             match listener.as_ref().map(TcpListener::accept) {
                 Some(Ok((stream, _))) => self.open(stream),
                 _ => wait_ms(2),
@@ -332,6 +339,19 @@
         }
     }
 
+    /// Takes no further connection. Those that are opened nevertheless do not come up, since the queue of the
+    /// listening socket is kept full with connections of the exchange's own.
+    fn leave_pending(&self, _listener: Option<TcpListener>) {
+        note(&format!("{} has as many connections as it takes", self.name()));
+        let mut fillers = Vec::new();
+        loop {
+            match TcpStream::connect_timeout(&self.address, Duration::from_millis(100)) {
+                Ok(stream) => fillers.push(stream),
+                Err(_) => wait_ms(100),
+            }
+        }
+    }
+
     fn open(self: &Arc<Self>, stream: TcpStream) {
         let number = self.last_connection.fetch_add(1, SeqCst) + 1;
         let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
@@ -511,6 +531,10 @@
         lock(&self.state).set_ups.clone()
     }
 
+    pub fn open_connections(&self) -> usize {
+        lock(&self.state).connections.len()
+    }
+
     /// Returns whether the router has released or given up a call.
     pub fn was_released_by_router(&self, tag: &str) -> bool {
         lock(&self.state).released_by_router.iter().any(|call| call == tag)
