--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -20,6 +20,7 @@
         "reload" => reload(),
         "drain" => drain(),
         "crowded" => crowded(),
+        "flood" => flood(),
         "full" => full(),
         "refused" => refused(),
         "forgotten" => forgotten(),
@@ -298,6 +299,66 @@
     wrong.is_empty()
 }
 
+/// Clients send hundreds of requests at once, to an exchange whose circuits are taken.
+fn flood() -> CaseResult {
+    const FLOOD_CLIENTS: u64 = 60;
+    const FLOOD_REQUESTS: u64 = 250;
+    const FLOOD_RING_MS: u64 = 9000;
+    let (first, second, listen) = (Exchange::start(0x11, 1)?, Exchange::start(0x12, 2)?, free_address()?);
+    let events = [known_event(1, true, &[first.host("active"), second.host("active")])];
+    second.circuits.store(20, SeqCst);
+    first.circuits.store(500, SeqCst);
+    first.hold_ms.store(3000, SeqCst);
+    second.hold_ms.store(3000, SeqCst);
+    let router = Router::start("n0", listen, &config(listen, &events, "", &settings(4, 600_000)), false)?;
+    router.wait_ready()?;
+    let client = Client::connect("client", listen)?;
+    let mut flood = Vec::new();
+    if context().has_trouble {
+        for number in 0..FLOOD_CLIENTS {
+            let flooding = Client::connect_as("flood", listen, false)?;
+            for request in 0..FLOOD_REQUESTS {
+                flooding.invite(&call_id(1_000_000 + number * FLOOD_REQUESTS + request), 2, FLOOD_RING_MS);
+            }
+            flood.push(flooding);
+        }
+        note(&format!("{FLOOD_CLIENTS} clients have sent {FLOOD_REQUESTS} requests each"));
+    }
+    let flood_sent_at = Instant::now();
+    let mut sent = Vec::new();
+    for number in 0..1000 {
+        let call = call_id(number);
+        client.invite(&call, 1, RING_MS);
+        sent.push((call, Instant::now()));
+        wait_ms(8);
+    }
+    // An answer up to half a second after its time only earns nothing.
+    let grace = Duration::from_millis(500) + SLACK;
+    wait_ms(RING_MS);
+    thread::sleep(grace);
+    let received = client.received();
+    let limit = Duration::from_millis(RING_MS) + grace;
+    let is_answered = |(call, at): &&(String, Instant)| {
+        received.iter().any(|m| m.call == *call && m.final_answer().is_some() && m.at - *at <= limit)
+    };
+    let answered = sent.iter().filter(is_answered).count();
+    let lost = sent.len() - answered;
+    note(&format!(
+        "{lost} of {} usual requests have no final answer half a second after their time",
+        sent.len()
+    ));
+    if !flood.is_empty() {
+        thread::sleep((Duration::from_millis(FLOOD_RING_MS) + grace).saturating_sub(flood_sent_at.elapsed()));
+        let answers: usize =
+            flood.iter().map(|c| c.received().iter().filter(|m| m.final_answer().is_some()).count()).sum();
+        note(&format!(
+            "{answers} of {} requests of the flood have an answer",
+            FLOOD_CLIENTS * FLOOD_REQUESTS
+        ));
+    }
+    Ok(lost == 0)
+}
+
 /// The router is killed and started again. An exchange at which a call stands then forgets the router's idle
 /// connections.
 fn forgotten() -> CaseResult {
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -275,6 +275,8 @@
     last_connection: AtomicU64,
     /// Whether new connections are refused: the exchange has as many as it takes.
     pub is_refusing: AtomicBool,
+    /// Number of circuits between the router's exchange and this one.
+    pub circuits: AtomicU64,
     /// Number of connections that the exchange takes; 0 for any. Further ones do not come up.
     pub max_connections: AtomicU64,
     /// Time from a set-up to its answer in milliseconds.
@@ -287,8 +289,6 @@
     pub forgets_idle: AtomicBool,
 }
 
-const CIRCUITS: usize = 100;
-
 impl Exchange {
     pub fn start(id: u32, node: u32) -> Result<Arc<Self>, CaseError> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -299,6 +299,7 @@
             state: Mutex::default(),
             last_connection: AtomicU64::new(0),
             is_refusing: AtomicBool::new(false),
+            circuits: AtomicU64::new(100),
             max_connections: AtomicU64::new(0),
             answer_ms: AtomicU64::new(15),
             hold_ms: AtomicU64::new(0),
@@ -359,7 +360,7 @@
         let Ok(reading) = stream.try_clone() else { return };
         let mut state = lock(&self.state);
         state.connections.insert(number, (stream, Instant::now()));
-        let load = load_line(&state);
+        let load = self.load_line(&state);
         self.write(&mut state, number, &load);
         for call in state.unconfirmed.clone() {
             self.write(&mut state, number, &finish_line(&call, 16));
@@ -445,6 +446,13 @@
         let mut state = lock(&self.state);
         state.connections.get_mut(&number).into_iter().for_each(|c| c.1 = Instant::now());
         match verb.as_str() {
+            "START" if state.calls.len() as u64 >= self.circuits.load(SeqCst) => {
+                state.set_ups.push((Instant::now(), tag.clone()));
+                let line = format!(
+                    "{{\"verb\":\"FINISH\",\"tag\":\"{tag}\",\"opts\":{{\"note\":\"group_full\"}},\"rc\":34}}\n"
+                );
+                self.write(&mut state, number, &line);
+            }
             "START" => {
                 state.set_ups.push((Instant::now(), tag.clone()));
                 state.calls.insert(tag.clone(), ExchangeCall { connection: number, stands: false });
@@ -506,8 +514,17 @@
         self.report_load(&mut state);
     }
 
+    /// Returns the state of the group.
+    fn load_line(&self, state: &ExchangeState) -> String {
+        let total = self.circuits.load(SeqCst) as usize;
+        let free = total.saturating_sub(state.calls.len());
+        format!(
+            "{{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{{\"load\":\"spare:{free};total:{total};lat_ms:2\"}}}}\n"
+        )
+    }
+
     fn report_load(&self, state: &mut MutexGuard<'_, ExchangeState>) {
-        let line = load_line(state);
+        let line = self.load_line(state);
         for number in state.connections.keys().copied().collect::<Vec<_>>() {
             self.write(state, number, &line);
         }
@@ -546,13 +563,6 @@
     format!("{tag} at {exchange}")
 }
 
-fn load_line(state: &ExchangeState) -> String {
-    let free = CIRCUITS.saturating_sub(state.calls.len());
-    format!(
-        "{{\"verb\":\"LOAD\",\"tag\":\"\",\"opts\":{{\"load\":\"spare:{free};total:{CIRCUITS};lat_ms:2\"}}}}\n"
-    )
-}
-
 fn finish_line(tag: &str, cause: u32) -> String {
     format!("{{\"verb\":\"FINISH\",\"tag\":\"{tag}\",\"opts\":{{}},\"rc\":{cause}}}\n")
 }
@@ -590,6 +600,8 @@
 /// A client with one connection. It acknowledges answers and confirms releases.
 pub struct Client {
     name: String,
+    /// Whether its messages are recorded one by one.
+    is_recorded: bool,
     stream: Mutex<TcpStream>,
     received: Mutex<Vec<Received>>,
     pub has_ended: AtomicBool,
@@ -597,22 +609,28 @@
 
 impl Client {
     pub fn connect(name: &str, router: SocketAddr) -> Result<Arc<Self>, CaseError> {
+        Self::connect_as(name, router, true)
+    }
+
+    /// Connects a client; `is_recorded` tells whether its messages are recorded one by one.
+    pub fn connect_as(name: &str, router: SocketAddr, is_recorded: bool) -> Result<Arc<Self>, CaseError> {
         let stream = TcpStream::connect_timeout(&router, Duration::from_secs(2))?;
         stream.set_nodelay(true)?;
         let reading = stream.try_clone()?;
         let client = Arc::new(Self {
             name: name.to_owned(),
+            is_recorded,
             stream: Mutex::new(stream),
             received: Mutex::default(),
             has_ended: AtomicBool::new(false),
         });
-        note(&format!("{name} connected"));
+        client.note("connected");
         let reader = client.clone();
         thread::spawn(move || {
             let mut input = BufReader::new(reading);
             while reader.read_message(&mut input).is_some() {}
             reader.has_ended.store(true, SeqCst);
-            note(&format!("{} connection ended", reader.name));
+            reader.note("connection ended");
         });
         Ok(client)
     }
@@ -641,7 +659,7 @@
         input.read_exact(&mut body).ok()?;
         let method = header("CSeq").split(' ').nth(1).unwrap_or_default().to_owned();
         let message = Received { at: Instant::now(), call: header("Call-ID"), method, first_line };
-        note(&format!("{} got  {} for {} ({})", self.name, message.first_line, message.call, message.method));
+        self.note(&format!("got  {} for {} ({})", message.first_line, message.call, message.method));
         if message.final_answer().is_some() {
             self.send("ACK", &message.call, "1 ACK", "", "");
         } else if message.is_release() {
@@ -656,7 +674,13 @@
     fn write(&self, bytes: &str, text: &str) {
         let result = lock(&self.stream).write_all(bytes.as_bytes());
         let outcome = if result.is_ok() { "sent" } else { "could not send" };
-        note(&format!("{} {outcome} {text}", self.name));
+        self.note(&format!("{outcome} {text}"));
+    }
+
+    fn note(&self, text: &str) {
+        if self.is_recorded {
+            note(&format!("{} {text}", self.name));
+        }
     }
 
     fn send(&self, method: &str, call: &str, cseq: &str, headers: &str, body: &str) {
